--- /dev/null
+++ b/bin/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! agent.
+
+fn main() {}
--- /dev/null
+++ b/bin/balancer/src/main.rs
@@ -0,0 +1,3 @@
+//! balancer.
+
+fn main() {}
--- /dev/null
+++ b/bin/control/src/main.rs
@@ -0,0 +1,3 @@
+//! control.
+
+fn main() {}
--- /dev/null
+++ b/bin/jacinthsill/src/main.rs
@@ -0,0 +1,3 @@
+//! jacinthsill.
+
+fn main() {}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Slots, classes, deadlines, shedding and the retry budget.
--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,53 @@
+//! Messages between the processes, and between operators and control.
+//!
+//! Processes exchange sealed MessagePack (crate `rpc`), operators exchange
+//! JSON. Every message is idempotent or carries the version or key that makes
+//! it so. Field sizes are bounded by the limits of `units` and `profile`.
+
+mod keys;
+mod member;
+mod operator;
+mod relay;
+mod report;
+mod watch;
+
+pub use keys::{
+    Claim, ClaimReply, Done, KeptAnswer, KeyMember, KeySet, Lookup, MAX_KEPT_ANSWER, MAX_KEY,
+    RequestKey,
+};
+pub use member::{Member, MemberState, Table, TableDelta, TableUpdate};
+pub use operator::{
+    Announce, Announced, AuditEntry, AuditEvent, Conflict, Failure, PutReply, PutRequest, Retire,
+    Stored, Target, TargetKind,
+};
+pub use relay::{RelayHead, SiblingLoad};
+pub use report::{
+    Bucket, BurnBatch, BurnReply, BurnWindow, Counts, NodeStatus, ObjectiveReport, Pending, Report,
+    ServiceReport, Status,
+};
+pub use watch::{
+    Announcement, Heartbeat, HeartbeatReply, Held, Order, Role, Scope, ServiceView, Watch,
+    WatchReply,
+};
+
+/// Paths of the interfaces between processes.
+pub mod path {
+    /// Heartbeat of a node to the control leader.
+    pub const HEARTBEAT: &str = "/v1/heartbeat";
+    /// Long poll for tables and profiles at any control replica.
+    pub const WATCH: &str = "/v1/watch";
+    /// Counts for the burn report, to the control leader.
+    pub const BURN: &str = "/v1/burn";
+    /// Messages of the replicated log.
+    pub const REPLICATE: &str = "/v1/replicate";
+    /// Claim of an idempotency key at a replica agent.
+    pub const CLAIM: &str = "/v1/claim";
+    /// Outcome of a claimed key.
+    pub const DONE: &str = "/v1/done";
+    /// What a replica agent knows of a key.
+    pub const LOOKUP: &str = "/v1/lookup";
+    /// Request handed to a sibling agent.
+    pub const RELAY: &str = "/v1/relay";
+    /// Load of a sibling agent.
+    pub const LOAD: &str = "/v1/load";
+}
--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level burn rates and the audit record.
--- /dev/null
+++ b/crates/faults/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fault-injecting TCP and UDP proxy.
--- /dev/null
+++ b/crates/flows/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which agent handles a packet.
--- /dev/null
+++ b/crates/idempotency/src/lib.rs
@@ -0,0 +1,1 @@
+//! Key claims across replicas.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, member states, table versions and key sets.
--- /dev/null
+++ b/crates/netstack/src/lib.rs
@@ -0,0 +1,1 @@
+//! One user-space TCP connection per object.
--- /dev/null
+++ b/crates/profile/src/check.rs
@@ -0,0 +1,291 @@
+//! Checks that a single value can't fail by itself: contradictions and unsafe values.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jsonc::{Document, JsoncError};
+
+use crate::{Declarations, Profile, Protocol, Service, Tier};
+
+/// Most classes in a profile.
+pub const MAX_CLASSES: usize = 32;
+
+/// Longest deadline in ms; a shift is shorter.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+
+/// Longest time in ms until a leaving backend server gets no new work.
+const MAX_STOP_MS: u64 = 3_000;
+
+/// Largest retry budget in percent; more turns a slow service into an overloaded one.
+const MAX_BUDGET: f64 = 20.0;
+
+/// Most attempts of one request.
+const MAX_ATTEMPTS: u8 = 5;
+
+/// Key windows in ms: a shorter one misses a caller's resend, a longer one does not fit in memory.
+const KEY_WINDOW_MS: std::ops::RangeInclusive<u64> = 60_000..=3_600_000;
+
+/// Most requests that may wait at one agent.
+const MAX_QUEUE: u32 = 65_536;
+
+/// Largest request body in bytes.
+const MAX_BODY: u64 = 1 << 30;
+
+type Files = [Document<Declarations>];
+
+/// Every finding in the files, in their order.
+#[must_use]
+pub fn check(files: &Files) -> Vec<JsoncError> {
+    let mut errors = Vec::new();
+    check_names(files, &mut errors);
+    for file in files {
+        for (index, profile) in file.value.profiles.iter().enumerate() {
+            check_profile(
+                &Place {
+                    file,
+                    path: format!("profiles[{index}]"),
+                },
+                profile,
+                &mut errors,
+            );
+        }
+        for (index, service) in file.value.services.iter().enumerate() {
+            let place = Place {
+                file,
+                path: format!("services[{index}]"),
+            };
+            check_service(&place, service, files, &mut errors);
+        }
+    }
+    errors
+}
+
+struct Place<'a> {
+    file: &'a Document<Declarations>,
+    path: String,
+}
+
+impl Place<'_> {
+    fn error(&self, field: &str, message: String) -> JsoncError {
+        self.file
+            .invalid(&format!("{}.{field}", self.path), message)
+    }
+
+    fn inner(&self, field: &str, index: usize) -> Self {
+        Self {
+            file: self.file,
+            path: format!("{}.{field}[{index}]", self.path),
+        }
+    }
+}
+
+fn check_names(files: &Files, errors: &mut Vec<JsoncError>) {
+    let mut profiles = BTreeSet::new();
+    let mut services = BTreeSet::new();
+    let mut addresses = BTreeMap::new();
+    for file in files {
+        for (index, profile) in file.value.profiles.iter().enumerate() {
+            if !profiles.insert(&profile.name) {
+                let message = format!(
+                    "profile {} stands twice; rename or remove one",
+                    profile.name
+                );
+                errors.push(file.invalid(&format!("profiles[{index}].name"), message));
+            }
+        }
+        for (index, service) in file.value.services.iter().enumerate() {
+            if !services.insert(&service.name) {
+                let message = format!(
+                    "service {} stands twice; rename or remove one",
+                    service.name
+                );
+                errors.push(file.invalid(&format!("services[{index}].name"), message));
+            }
+            if let Some(other) = addresses.insert(service.address, &service.name) {
+                let message = format!(
+                    "{} is the address of service {other} already; give each service its own",
+                    service.address
+                );
+                errors.push(file.invalid(&format!("services[{index}].address"), message));
+            }
+        }
+    }
+}
+
+fn check_service(
+    place: &Place<'_>,
+    service: &Service,
+    files: &Files,
+    errors: &mut Vec<JsoncError>,
+) {
+    let known = |file: &Document<Declarations>| {
+        file.value
+            .profiles
+            .iter()
+            .any(|p| p.name == service.profile)
+    };
+    if !files.iter().any(known) {
+        let message = format!(
+            "profile {} is not declared in this folder; declare it",
+            service.profile
+        );
+        errors.push(place.error("profile", message));
+    }
+    let ip = service.address.ip();
+    if service.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast()
+    {
+        let message = format!("{} is not an address that callers can use", service.address);
+        errors.push(place.error("address", message));
+    }
+}
+
+fn check_profile(place: &Place<'_>, profile: &Profile, errors: &mut Vec<JsoncError>) {
+    check_limits(place, profile, errors);
+    check_classes(place, profile, errors);
+    for (index, objective) in profile.objectives.iter().enumerate() {
+        let place = place.inner("objectives", index);
+        if !profile
+            .classes
+            .iter()
+            .any(|class| class.name == objective.class)
+        {
+            let message = format!("class {} is not declared in this profile", objective.class);
+            errors.push(place.error("class", message));
+        }
+        if objective.share.value() >= 100.0 || objective.share.value() <= 0.0 {
+            let message = format!(
+                "{} leaves no error budget to burn; use more than 0 and less than 100",
+                objective.share
+            );
+            errors.push(place.error("share", message));
+        }
+    }
+}
+
+fn check_limits(place: &Place<'_>, profile: &Profile, errors: &mut Vec<JsoncError>) {
+    let mut range = |field: &str, value: u64, allowed: std::ops::RangeInclusive<u64>| {
+        if !allowed.contains(&value) {
+            let message = format!(
+                "{value} is out of range; use {} to {}",
+                allowed.start(),
+                allowed.end()
+            );
+            errors.push(place.error(field, message));
+        }
+    };
+    range("drain.stop_ms", profile.drain.stop_ms.0, 0..=MAX_STOP_MS);
+    range(
+        "retry.attempts",
+        profile.retry.attempts.into(),
+        1..=MAX_ATTEMPTS.into(),
+    );
+    range(
+        "concurrency.queue",
+        profile.concurrency.queue.into(),
+        1..=MAX_QUEUE.into(),
+    );
+    range(
+        "concurrency.flows",
+        profile.concurrency.flows.into(),
+        1..=1_000_000,
+    );
+    range(
+        "concurrency.long_ms",
+        profile.concurrency.long_ms.0,
+        1..=MAX_DEADLINE_MS,
+    );
+    range(
+        "health.interval_ms",
+        profile.health.interval_ms.0,
+        50..=60_000,
+    );
+    range("health.rise", profile.health.rise.into(), 1..=100);
+    range("health.fall", profile.health.fall.into(), 1..=100);
+    range("keys.window_ms", profile.keys.window_ms.0, KEY_WINDOW_MS);
+    range("warmup_ms", profile.warmup_ms.0, 0..=3_600_000);
+    if profile.retry.budget.value() > MAX_BUDGET {
+        let message = format!(
+            "{} is unsafe under overload; use at most {MAX_BUDGET}%",
+            profile.retry.budget
+        );
+        errors.push(place.error("retry.budget", message));
+    }
+}
+
+fn check_classes(place: &Place<'_>, profile: &Profile, errors: &mut Vec<JsoncError>) {
+    match profile.protocol {
+        Protocol::Tcp if !profile.classes.is_empty() => {
+            let message =
+                "a tcp profile can't have classes; use protocol \"http\" or remove them".into();
+            errors.push(place.error("classes", message));
+        }
+        Protocol::Http if profile.classes.is_empty() => {
+            let message =
+                "an http profile needs at least one class; add one with path \"/\"".into();
+            errors.push(place.error("classes", message));
+        }
+        _ => {}
+    }
+    if profile.classes.len() > MAX_CLASSES {
+        let message = format!(
+            "{} classes; at most {MAX_CLASSES} are accepted",
+            profile.classes.len()
+        );
+        errors.push(place.error("classes", message));
+    }
+    let mut names = BTreeSet::new();
+    for (index, class) in profile.classes.iter().enumerate() {
+        let place = place.inner("classes", index);
+        if !names.insert(&class.name) {
+            errors.push(place.error(
+                "name",
+                format!("class {} stands twice; rename one", class.name),
+            ));
+        }
+        if !class.path.starts_with('/') {
+            errors.push(place.error("path", format!("{:?} must start with '/'", class.path)));
+        }
+        if class.deadline_ms.0 == 0 || class.deadline_ms.0 > MAX_DEADLINE_MS {
+            let message = format!(
+                "{} is out of range; use 1 to {MAX_DEADLINE_MS}",
+                class.deadline_ms
+            );
+            errors.push(place.error("deadline_ms", message));
+        }
+        if class.limit.0 > MAX_BODY {
+            errors.push(place.error(
+                "limit",
+                format!("{} is out of range; use at most {MAX_BODY}", class.limit),
+            ));
+        }
+        if class
+            .method
+            .as_deref()
+            .is_some_and(|m| m.is_empty() || !m.bytes().all(|b| b.is_ascii_uppercase()))
+        {
+            errors.push(place.error(
+                "method",
+                "use an upper-case HTTP method or leave it out".into(),
+            ));
+        }
+        if class.tier == Tier::Bulk && class.short {
+            errors.push(place.error(
+                "short",
+                "a bulk class can't use the reserved slots; remove one of both".into(),
+            ));
+        }
+        if class.stream && !class.idempotent {
+            errors.push(place.error("stream", "a stream must be idempotent".into()));
+        }
+        let hidden = profile.classes[..index].iter().any(|earlier| {
+            class.path.starts_with(&*earlier.path)
+                && (earlier.method.is_none() || earlier.method == class.method)
+        });
+        if hidden {
+            let message = format!(
+                "{} is never reached: an earlier class matches all of it; move it up",
+                class.path
+            );
+            errors.push(place.error("path", message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/profile/src/diff.rs
@@ -0,0 +1,108 @@
+//! Differences between the wanted and the accepted declarations.
+
+use derive_more::Display;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::Declaration;
+
+/// What would happen to a declaration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize)]
+#[serde(rename_all = "lowercase")]
+#[display(rename_all = "lowercase")]
+pub enum ChangeKind {
+    /// It is new.
+    Create,
+    /// It differs.
+    Change,
+    /// It is accepted but no longer wanted.
+    Retire,
+}
+
+/// One difference.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Change {
+    /// What would happen.
+    pub change: ChangeKind,
+    /// `profile` or `service`.
+    pub kind: Box<str>,
+    /// Name.
+    pub name: Box<str>,
+    /// Fields that differ, as `path: old -> new`.
+    pub fields: Vec<Box<str>>,
+}
+
+/// Differences in the order in which they can be applied: profiles before the
+/// services that use them, retirements last and services first.
+#[must_use]
+pub fn diff(accepted: &[Declaration], wanted: &[Declaration]) -> Vec<Change> {
+    let find = |list: &[Declaration], d: &Declaration| {
+        list.iter()
+            .find(|other| other.kind() == d.kind() && other.name() == d.name())
+            .cloned()
+    };
+    let entry = |change, d: &Declaration, fields| Change {
+        change,
+        kind: d.kind().into(),
+        name: d.name().into(),
+        fields,
+    };
+    let mut changes = Vec::new();
+    for d in wanted {
+        match find(accepted, d) {
+            None => changes.push(entry(ChangeKind::Create, d, Vec::new())),
+            Some(old) if old != *d => {
+                changes.push(entry(ChangeKind::Change, d, fields(&old, d)));
+            }
+            Some(_) => {}
+        }
+    }
+    changes.sort_by_key(|change| change.kind.as_ref() == "service");
+    let mut retired: Vec<_> = accepted
+        .iter()
+        .filter(|d| find(wanted, d).is_none())
+        .map(|d| entry(ChangeKind::Retire, d, Vec::new()))
+        .collect();
+    retired.sort_by_key(|change| change.kind.as_ref() == "profile");
+    changes.extend(retired);
+    changes
+}
+
+fn fields(old: &Declaration, new: &Declaration) -> Vec<Box<str>> {
+    let value = |d: &Declaration| match d {
+        Declaration::Profile(profile) => serde_json::to_value(profile),
+        Declaration::Service(service) => serde_json::to_value(service),
+    };
+    let mut out = Vec::new();
+    if let (Ok(old), Ok(new)) = (value(old), value(new)) {
+        compare("", &old, &new, &mut out);
+    }
+    out
+}
+
+fn compare(path: &str, old: &Value, new: &Value, out: &mut Vec<Box<str>>) {
+    if old == new {
+        return;
+    }
+    match (old, new) {
+        (Value::Object(a), Value::Object(b)) => {
+            for key in a.keys().chain(b.keys().filter(|key| !a.contains_key(*key))) {
+                let inner = if path.is_empty() {
+                    key.clone()
+                } else {
+                    format!("{path}.{key}")
+                };
+                let side = |map: &serde_json::Map<String, Value>| {
+                    map.get(key).cloned().unwrap_or_default()
+                };
+                compare(&inner, &side(a), &side(b), out);
+            }
+        }
+        (Value::Array(a), Value::Array(b)) if a.len() == b.len() => {
+            for (index, (a, b)) in a.iter().zip(b).enumerate() {
+                compare(&format!("{path}[{index}]"), a, b, out);
+            }
+        }
+        _ => out.push(format!("{path}: {old} -> {new}").into()),
+    }
+}
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runs one replication state with its files and peers.
--- /dev/null
+++ b/crates/replication/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log.
--- /dev/null
+++ b/crates/requests/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP requests at an agent.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control's state machine.
--- /dev/null
+++ b/crates/steering/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ranking of members, candidate lists and the flow cache.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checksummed log and snapshot files.
--- /dev/null
+++ b/crates/units/src/lib.rs
@@ -0,0 +1,15 @@
+//! Identifiers, versions, sizes and rates shared by every crate.
+//!
+//! Each value that crosses a process boundary has its own type, so that an
+//! epoch can't be passed for a version or a service id for a port. All of
+//! them implement `Display` and `FromStr`.
+
+mod flow;
+mod id;
+mod name;
+mod quantity;
+
+pub use flow::Flow;
+pub use id::{Epoch, Incarnation, Region, ReplicaId, ServiceId, Version};
+pub use name::{ClassName, DataCentre, HostName, NameError, ProfileName, ServiceName, TenantName};
+pub use quantity::{Bytes, Millis, Percent, QuantityError, Slots, Weight};
--- /dev/null
+++ b/crates/watcher/src/lib.rs
@@ -0,0 +1,1 @@
+//! Keeps a node's tables and profiles current.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Forwarding header, flow notices and inner packet validation.
