Add wire and watcher

Cause: balancer and agent share the datagram format and the way they follow control. Change: wire encodes headers with candidates on the stack and a tag that leaves out the hop, so that a relay patches one byte; watcher keeps a view of tables, profiles and key sets that never moves to an older version. Ruled out: one task for heartbeat and poll, because a held poll would delay the lease.

--- /dev/null
+++ b/crates/watcher/src/poll.rs
@@ -0,0 +1,85 @@
+//! Long poll for tables and profiles.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use api::{Watch, WatchReply, path};
+use rpc::{Client, RpcError};
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+use units::Millis;
+
+use crate::peers::Peers;
+use crate::{View, WatcherSettings};
+
+/// Time allowed for the answer beyond the wait that was asked for.
+const MARGIN: Duration = Duration::from_millis(1500);
+
+/// First wait after a failure; doubles up to the largest one.
+const BACKOFF: std::ops::Range<u64> = 50..1000;
+
+/// Shortest time between two answers that changed nothing.
+const IDLE: Duration = Duration::from_millis(100);
+
+pub(crate) async fn run(
+    settings: Arc<WatcherSettings>,
+    client: Client,
+    log: Logger,
+    out: watch::Sender<Arc<View>>,
+) {
+    // Nodes start at different replicas, so that polls spread over all of them.
+    let mut peers = Peers::new(settings.control.clone(), rand::random_range(0..64));
+    let mut backoff = BACKOFF.start;
+    let mut first = true;
+    loop {
+        let Some(peer) = peers.get() else { return };
+        let view = Arc::clone(&out.borrow());
+        let message = request(&settings, &view);
+        let start = Instant::now();
+        let limit = settings.wait + MARGIN;
+        let result: Result<WatchReply, RpcError> =
+            client.post(peer, path::WATCH, &message, limit).await;
+        match result {
+            Ok(reply) => {
+                backoff = BACKOFF.start;
+                if view.is_older(&reply) {
+                    warn!(log, "replica answered with an older configuration"; "peer" => %peer,
+                        "held" => view.config.0, "offered" => reply.config.0);
+                    peers.failed(&RpcError::Invalid {
+                        step: path::WATCH.into(),
+                        peer,
+                        message: "older configuration".into(),
+                    });
+                    sleep(IDLE).await;
+                } else if let Some(next) = view.updated(&reply, Instant::now()) {
+                    out.send_replace(Arc::new(next));
+                    if std::mem::take(&mut first) {
+                        info!(log, "first tables received"; "config" => reply.config.0);
+                    }
+                } else if start.elapsed() < IDLE {
+                    sleep(IDLE).await;
+                }
+            }
+            Err(error) => {
+                peers.failed(&error);
+                sleep(Duration::from_millis(rand::random_range(
+                    backoff / 2..=backoff,
+                )))
+                .await;
+                backoff = (backoff * 2).min(BACKOFF.end);
+            }
+        }
+    }
+}
+
+fn request(settings: &WatcherSettings, view: &View) -> Watch {
+    Watch {
+        host: settings.host.clone(),
+        scope: settings.scope.clone(),
+        config: view.config,
+        horizon: view.horizon,
+        held: view.held(),
+        wait_ms: Millis::from(settings.wait),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/inspect.rs
@@ -0,0 +1,102 @@
+//! Checks of inner packets.
+
+use std::net::SocketAddrV4;
+
+use etherparse::{IpNumber, Ipv4HeaderSlice, TcpSlice};
+use units::Flow;
+
+use crate::{MAX_INNER, PacketError};
+
+/// What steering and ownership need of a TCP segment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Segment {
+    /// Source is the caller, destination the service.
+    pub flow: Flow,
+    /// SYN flag.
+    pub syn: bool,
+    /// ACK flag.
+    pub ack: bool,
+    /// FIN flag.
+    pub fin: bool,
+    /// RST flag.
+    pub rst: bool,
+    /// Sequence number.
+    pub seq: u32,
+    /// Acknowledgement number; meaningful with `ack`.
+    pub ack_number: u32,
+    /// Payload bytes.
+    pub payload: usize,
+    /// Hop limit left.
+    pub ttl: u8,
+}
+
+impl Segment {
+    /// First segment of a flow.
+    #[must_use]
+    pub fn opens(&self) -> bool {
+        self.syn && !self.ack && !self.rst
+    }
+}
+
+/// Checks an IPv4 packet with one whole TCP segment.
+///
+/// # Errors
+/// The reason for dropping it.
+pub fn inspect(inner: &[u8]) -> Result<Segment, PacketError> {
+    if inner.len() > MAX_INNER {
+        return Err(PacketError::TooLong);
+    }
+    if inner.first().is_some_and(|byte| byte >> 4 != 4) {
+        return Err(PacketError::Version);
+    }
+    let ip = Ipv4HeaderSlice::from_slice(inner).map_err(|_| PacketError::Truncated)?;
+    if usize::from(ip.total_len()) != inner.len() {
+        return Err(PacketError::Truncated);
+    }
+    if ip.is_fragmenting_payload() {
+        return Err(PacketError::Fragment);
+    }
+    if ip.protocol() != IpNumber::TCP {
+        return Err(PacketError::Protocol);
+    }
+    if ip.ttl() <= 1 {
+        return Err(PacketError::Ttl);
+    }
+    if ip.to_header().calc_header_checksum() != ip.header_checksum() {
+        return Err(PacketError::HeaderChecksum);
+    }
+    let caller = ip.source_addr();
+    if caller.is_unspecified()
+        || caller.is_multicast()
+        || caller.is_broadcast()
+        || caller.is_loopback()
+    {
+        return Err(PacketError::Source);
+    }
+    let tcp =
+        TcpSlice::from_slice(&inner[ip.slice().len()..]).map_err(|_| PacketError::Truncated)?;
+    let sum = tcp
+        .calc_checksum_ipv4(ip.source(), ip.destination())
+        .map_err(|_| PacketError::TooLong)?;
+    if sum != tcp.checksum() {
+        return Err(PacketError::TcpChecksum);
+    }
+    let none = !tcp.syn() && !tcp.ack() && !tcp.fin() && !tcp.rst();
+    if none || tcp.syn() && (tcp.fin() || tcp.rst()) || tcp.source_port() == 0 {
+        return Err(PacketError::Flags);
+    }
+    Ok(Segment {
+        flow: Flow {
+            caller: SocketAddrV4::new(caller, tcp.source_port()),
+            service: SocketAddrV4::new(ip.destination_addr(), tcp.destination_port()),
+        },
+        syn: tcp.syn(),
+        ack: tcp.ack(),
+        fin: tcp.fin(),
+        rst: tcp.rst(),
+        seq: tcp.sequence_number(),
+        ack_number: tcp.acknowledgment_number(),
+        payload: tcp.payload().len(),
+        ttl: ip.ttl(),
+    })
+}
--- /dev/null
+++ b/crates/wire/src/notice.rs
@@ -0,0 +1,86 @@
+//! Flow notices: an agent tells another one which flows it owns.
+
+use rpc::{Key, TAG_BYTES};
+use units::{Epoch, Flow, ServiceId};
+
+use crate::header::{
+    CANDIDATE_BYTES, Candidate, FIXED_BYTES, KIND_NOTICE, put_candidate, put_fixed, take_candidate,
+};
+use crate::{MAX_DATAGRAM, WireError};
+
+/// Encoded size of a flow.
+const FLOW_BYTES: usize = 12;
+
+/// Bytes after the fixed part and before the flows: owner and open flows.
+const OWNER_BYTES: usize = CANDIDATE_BYTES + 4;
+
+/// Most flows in one notice.
+pub const MAX_NOTICE_FLOWS: usize =
+    (MAX_DATAGRAM - FIXED_BYTES - OWNER_BYTES - TAG_BYTES) / FLOW_BYTES;
+
+/// Flows that an agent owns.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Notice {
+    /// Service.
+    pub service: ServiceId,
+    /// Flows, at most [`MAX_NOTICE_FLOWS`]; may be empty to tell the load only.
+    pub flows: Vec<Flow>,
+    /// Owner.
+    pub owner: Candidate,
+    /// Open flows of the owner.
+    pub open: u32,
+}
+
+/// Writes a notice datagram to `out`, which is cleared first.
+///
+/// # Errors
+/// When it holds too many flows.
+pub fn encode_notice(key: &Key, notice: &Notice, out: &mut Vec<u8>) -> Result<(), WireError> {
+    let count = notice.flows.len();
+    if count > MAX_NOTICE_FLOWS {
+        return Err(WireError::TooLong(count * FLOW_BYTES));
+    }
+    out.clear();
+    put_fixed(
+        out,
+        KIND_NOTICE,
+        [0, count as u8, 0],
+        notice.service,
+        Epoch(0),
+    );
+    put_candidate(out, &notice.owner);
+    out.extend_from_slice(&notice.open.to_be_bytes());
+    for flow in &notice.flows {
+        out.extend_from_slice(&flow.to_bytes());
+    }
+    let tag = key.tag(&[out]);
+    out.extend_from_slice(&tag);
+    Ok(())
+}
+
+pub(crate) fn decode(key: &Key, datagram: &[u8], service: ServiceId) -> Result<Notice, WireError> {
+    let count = usize::from(datagram[5]);
+    let length = FIXED_BYTES + OWNER_BYTES + count * FLOW_BYTES + TAG_BYTES;
+    if datagram.len() != length {
+        return Err(WireError::Truncated);
+    }
+    let (body, tag) = datagram.split_at(length - TAG_BYTES);
+    if !key.verify(&[body], tag) {
+        return Err(WireError::Tag);
+    }
+    let owner = take_candidate(body, FIXED_BYTES)?;
+    let (open, flows) = body[FIXED_BYTES + CANDIDATE_BYTES..].split_at(4);
+    let open = u32::from_be_bytes(open.try_into().map_err(|_| WireError::Truncated)?);
+    let flows = flows
+        .as_chunks::<FLOW_BYTES>()
+        .0
+        .iter()
+        .map(|raw| Flow::from_bytes(*raw))
+        .collect();
+    Ok(Notice {
+        service,
+        flows,
+        owner,
+        open,
+    })
+}
