Add steering: ranking, candidate lists and the flow cache

Cause: balancers need the same short candidate list from the same tables without sharing state. Ruled out: Maglev for small services (about 1% uneven shares at 100 entries a member and a rebuild per change), rendezvous for large ones (linear cost).

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -1,1 +1,15 @@
-//! Ranking of members, candidate lists and the flow cache.
+//! Which agents a packet may go to.
+//!
+//! Every balancer computes the same candidates from the same tables, so none
+//! needs the state of another. Ownership of a flow is decided at the agents;
+//! steering only has to name a short list that leads to the owner.
+
+mod cache;
+mod maglev;
+mod rank;
+mod steer;
+
+pub use cache::{CacheSettings, CacheStats, FlowCache, Slot};
+pub use maglev::{MAGLEV_THRESHOLD, Maglev};
+pub use rank::{Ranked, Ranker};
+pub use steer::{LOOKUP_PERIOD, Steering};
--- /dev/null
+++ b/crates/steering/src/maglev.rs
@@ -0,0 +1,102 @@
+//! Maglev lookup table: constant cost per packet, near-minimal disruption.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Ranked;
+
+/// Members up to which rendezvous hashing is used.
+pub const MAGLEV_THRESHOLD: usize = 64;
+
+/// Table entries per member; fewer make shares uneven by more than 1%.
+const ENTRIES_PER_MEMBER: usize = 100;
+
+const EMPTY: u32 = u32::MAX;
+
+/// Lookup table over the members of a service.
+#[derive(Debug, Clone)]
+pub struct Maglev {
+    entries: Box<[u32]>,
+}
+
+struct Walk {
+    next: usize,
+    skip: usize,
+    credit: u32,
+}
+
+impl Maglev {
+    /// Table for at least one member.
+    #[must_use]
+    pub fn new(members: &[Ranked]) -> Self {
+        let size = next_prime(members.len().max(1) * ENTRIES_PER_MEMBER);
+        let most = members
+            .iter()
+            .map(|member| u32::from(member.weight))
+            .max()
+            .unwrap_or(1);
+        let mut walks: Vec<_> = members.iter().map(|member| walk(member, size)).collect();
+        let mut entries = vec![EMPTY; size].into_boxed_slice();
+        let mut filled = 0;
+        while filled < size && !members.is_empty() {
+            for (index, member) in members.iter().enumerate() {
+                let walk = &mut walks[index];
+                walk.credit += u32::from(member.weight);
+                // A member with half the weight takes an entry in every second round.
+                if walk.credit < most {
+                    continue;
+                }
+                walk.credit -= most;
+                entries[free_entry(&entries, walk)] = index as u32;
+                filled += 1;
+                if filled == size {
+                    break;
+                }
+            }
+        }
+        Self { entries }
+    }
+
+    /// Index of the member for a hash.
+    #[must_use]
+    pub fn get(&self, hash: u64) -> usize {
+        let at = (u128::from(hash) * self.entries.len() as u128) >> 64;
+        self.entries[at as usize] as usize
+    }
+
+    /// Memory of the table in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.entries.len() * size_of::<u32>()
+    }
+}
+
+fn walk(member: &Ranked, size: usize) -> Walk {
+    let hash = |seed| xxh3_64_with_seed(&member.seed.to_le_bytes(), seed) as usize;
+    Walk {
+        next: hash(1) % size,
+        skip: hash(2) % (size - 1) + 1,
+        credit: 0,
+    }
+}
+
+fn free_entry(entries: &[u32], walk: &mut Walk) -> usize {
+    loop {
+        let at = walk.next;
+        walk.next = (walk.next + walk.skip) % entries.len();
+        if entries[at] == EMPTY {
+            return at;
+        }
+    }
+}
+
+fn next_prime(from: usize) -> usize {
+    let is_prime = |n: usize| {
+        n > 2
+            && n % 2 == 1
+            && (3..)
+                .step_by(2)
+                .take_while(|d| d * d <= n)
+                .all(|d| n % d != 0)
+    };
+    (from.max(3)..).find(|n| is_prime(*n)).unwrap_or(from)
+}
--- /dev/null
+++ b/crates/steering/src/rank.rs
@@ -0,0 +1,119 @@
+//! Ranking of the members of one table.
+//!
+//! Weighted rendezvous hashing costs one hash per member and packet, moves
+//! only the flows of the member that came or went, and needs no memory beyond
+//! the member list. Above [`MAGLEV_THRESHOLD`] members a Maglev table takes
+//! over, whose lookup cost does not depend on their number.
+
+use api::{Member, Table};
+use units::{Epoch, ServiceId};
+use wire::Candidate;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{MAGLEV_THRESHOLD, Maglev};
+
+/// Seed offset for the second choice in a Maglev table.
+const SECOND: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// Attempts to find a second member that differs from the first.
+const SECOND_ATTEMPTS: u64 = 8;
+
+/// A member as ranked.
+#[derive(Debug, Clone, Copy)]
+pub struct Ranked {
+    /// Where it is.
+    pub candidate: Candidate,
+    /// Hash of its host name; the incarnation is left out so that a restart keeps its flows' positions.
+    pub seed: u64,
+    /// Weight, at least 1.
+    pub weight: u16,
+}
+
+/// Members of one table that take new work.
+#[derive(Debug, Clone)]
+pub struct Ranker {
+    /// Service.
+    pub service: ServiceId,
+    /// Version of the table.
+    pub epoch: Epoch,
+    members: Box<[Ranked]>,
+    maglev: Option<Maglev>,
+}
+
+impl Ranker {
+    /// Ranker for a table.
+    #[must_use]
+    pub fn new(table: &Table) -> Self {
+        let members: Box<[Ranked]> = table.members.iter().filter_map(ranked).collect();
+        let maglev = (members.len() > MAGLEV_THRESHOLD).then(|| Maglev::new(&members));
+        Self {
+            service: table.service,
+            epoch: table.epoch,
+            members,
+            maglev,
+        }
+    }
+
+    /// Members in the order of the table.
+    #[must_use]
+    pub fn members(&self) -> &[Ranked] {
+        &self.members
+    }
+
+    /// Index of the first choice for a flow hash.
+    #[must_use]
+    pub fn first(&self, hash: u64) -> Option<usize> {
+        match &self.maglev {
+            Some(maglev) => Some(maglev.get(hash)),
+            None => self.top_two(hash).0,
+        }
+    }
+
+    /// Indexes of the first and the second choice for a flow hash.
+    #[must_use]
+    pub fn choices(&self, hash: u64) -> (Option<usize>, Option<usize>) {
+        let Some(maglev) = &self.maglev else {
+            return self.top_two(hash);
+        };
+        let first = maglev.get(hash);
+        let second = (1..=SECOND_ATTEMPTS)
+            .map(|attempt| maglev.get(hash.wrapping_add(SECOND.wrapping_mul(attempt))))
+            .find(|second| *second != first);
+        (Some(first), second)
+    }
+
+    fn top_two(&self, hash: u64) -> (Option<usize>, Option<usize>) {
+        let mut first = (f64::INFINITY, None);
+        let mut second = first;
+        for (index, member) in self.members.iter().enumerate() {
+            let cost = cost(hash, member);
+            if cost < first.0 {
+                second = first;
+                first = (cost, Some(index));
+            } else if cost < second.0 {
+                second = (cost, Some(index));
+            }
+        }
+        (first.1, second.1)
+    }
+}
+
+fn ranked(member: &Member) -> Option<Ranked> {
+    (member.state.takes_work() && member.weight.0 > 0).then(|| Ranked {
+        candidate: Candidate {
+            address: member.packets,
+            incarnation: member.incarnation,
+        },
+        seed: xxh3_64(member.host.as_str().as_bytes()),
+        weight: member.weight.0,
+    })
+}
+
+/// Exponentially distributed with the weight as its rate, so that the least cost falls on a member
+/// in proportion to its weight.
+fn cost(hash: u64, member: &Ranked) -> f64 {
+    let mixed = xxh3_64_with_seed(&hash.to_le_bytes(), member.seed);
+    // 53 bits fill the mantissa; the half keeps the logarithm finite.
+    let uniform = ((mixed >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -uniform.ln() / f64::from(member.weight)
+}
