Handle requests: admission, key claims, relay, outcomes

It now classifies, claims keys at three replicas, waits for a slot, sends to the backend server or one sibling, and says what is known when there is no response. Non-idempotent requests use a fresh connection, since a close of an idle one leaves unknown whether the request began. Responses without a length are refused: a cut would not show. hyper takes one of two conflicting lengths silently, so the bytes are followed beside it.

--- a/crates/admission/src/admit.rs
+++ b/crates/admission/src/admit.rs
@@ -95,8 +95,22 @@
         if deadline <= now {
             return Some(Reason::Expired);
         }
-        let late = self.limits.refuse_early && self.is_late(now, class, deadline);
-        late.then_some(Reason::TooLate)
+        if self.limits.refuse_early && self.is_late(now, class, deadline) {
+            return Some(Reason::TooLate);
+        }
+        let full = self.queue.len() >= self.limits.queue
+            && !self.is_free(now, class)
+            && self.queue.victim(self.tier(class), class).is_none();
+        full.then_some(Reason::Full)
+    }
+
+    /// Time after which a new attempt of the class has a chance.
+    #[must_use]
+    pub fn retry_after(&self, now: Instant, class: usize) -> Duration {
+        let far = now + Duration::from_secs(86_400);
+        let wait = self.expected_wait(now, class, far);
+        let (least, most) = RETRY_AFTER;
+        Duration::from_secs_f64(wait.clamp(least, most))
     }
 
     /// Time at which [`Event::Tick`] is due.
@@ -133,6 +147,14 @@
         self.classes.get(index).copied().unwrap_or_default()
     }
 
+    fn tier(&self, class: usize) -> Tier {
+        if self.limits.tiers {
+            self.class(class).tier
+        } else {
+            Tier::Normal
+        }
+    }
+
     fn mean(&self, class: usize) -> f64 {
         self.estimates.get(class).map_or(0.0, Estimate::mean)
     }
@@ -149,12 +171,7 @@
             out.push(self.refuse(now, id, class, reason));
             return;
         }
-        let limits = self.class(class);
-        let tier = if self.limits.tiers {
-            limits.tier
-        } else {
-            Tier::Normal
-        };
+        let tier = self.tier(class);
         if self.queue.len() >= self.limits.queue && !self.is_free(now, class) {
             let Some(victim) = self.queue.victim(tier, class) else {
                 out.push(self.refuse(now, id, class, Reason::Full));
@@ -168,7 +185,7 @@
             id,
             class,
             tier,
-            short: limits.short,
+            short: self.class(class).short,
             deadline,
             sequence: self.sequence,
         };
@@ -265,6 +282,7 @@
         if self.is_free(now, class) {
             return 0.0;
         }
+        let tier = self.tier(class);
         let slots = self.slots(now);
         let usable = if limits.short {
             slots
@@ -280,11 +298,6 @@
             }
         }
         for waiting in self.queue.iter() {
-            let tier = if self.limits.tiers {
-                limits.tier
-            } else {
-                Tier::Normal
-            };
             let before = waiting.tier > tier
                 || waiting.tier == tier
                     && (self.limits.order == Order::Arrival || waiting.deadline <= deadline);
@@ -296,13 +309,10 @@
     }
 
     fn refuse(&self, now: Instant, id: u64, class: usize, reason: Reason) -> Action {
-        let far = now + Duration::from_secs(86_400);
-        let wait = self.expected_wait(now, class, far);
-        let (least, most) = RETRY_AFTER;
         Action::Refuse {
             id,
             reason,
-            retry_after: Duration::from_secs_f64(wait.clamp(least, most)),
+            retry_after: self.retry_after(now, class),
         }
     }
 }
--- a/crates/admission/src/siblings.rs
+++ b/crates/admission/src/siblings.rs
@@ -36,6 +36,15 @@
     sent: u16,
 }
 
+impl Known {
+    fn is_free(&self, now: Instant) -> bool {
+        let fresh = self
+            .seen
+            .is_some_and(|at| now.saturating_duration_since(at) <= MAX_AGE);
+        fresh && self.load.serving && self.load.free(self.sent) > 0
+    }
+}
+
 /// Siblings with their last known loads.
 #[derive(Debug, Clone, Default)]
 pub struct Siblings {
@@ -72,6 +81,12 @@
         }
     }
 
+    /// Whether any sibling is known to have a free slot.
+    #[must_use]
+    pub fn has_free(&self, now: Instant) -> bool {
+        self.known.values().any(|known| known.is_free(now))
+    }
+
     /// The better of two random siblings with a free slot; counts the request
     /// against it, since many requests are sent between two reports of load.
     pub fn choose(
@@ -80,19 +95,11 @@
         except: &[SocketAddrV4],
         rng: &mut impl Rng,
     ) -> Option<SocketAddrV4> {
-        let fresh = |known: &Known| {
-            known
-                .seen
-                .is_some_and(|at| now.saturating_duration_since(at) <= MAX_AGE)
-        };
         let free: Vec<(SocketAddrV4, u32)> = self
             .known
             .iter()
-            .filter(|(address, known)| {
-                !except.contains(address) && known.load.serving && fresh(known)
-            })
+            .filter(|(address, known)| !except.contains(address) && known.is_free(now))
             .map(|(address, known)| (*address, known.load.free(known.sent)))
-            .filter(|(_, free)| *free > 0)
             .collect();
         let pick = |rng: &mut _| -> Option<(SocketAddrV4, u32)> {
             let count = free.len();
--- a/crates/requests/src/backend.rs
+++ b/crates/requests/src/backend.rs
@@ -46,14 +46,18 @@
 }
 
 /// Why there is no response head.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum SendError {
-    /// The backend server did not see the request.
-    NotSent,
+    /// The backend server did not see the request; its body is whole.
+    NotSent(Box<Upload>),
     /// The backend server may have begun it.
     Broken,
 }
 
+/// No connection could be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Unreachable;
+
 /// Pool of idle connections.
 #[derive(Debug, Clone)]
 pub(crate) struct Backend {
@@ -72,20 +76,20 @@
     /// Connection for one exchange. A backend server may close an idle
     /// connection just when a request is written to it, which leaves unknown
     /// whether it began; `fresh` avoids this for non-idempotent requests.
-    pub(crate) async fn connect(&self, fresh: bool) -> Result<Connection, SendError> {
+    pub(crate) async fn connect(&self, fresh: bool) -> Result<Connection, Unreachable> {
         if !fresh && let Some(connection) = self.take_idle() {
             return Ok(connection);
         }
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
-            .map_err(|_| SendError::NotSent)?
-            .map_err(|_| SendError::NotSent)?;
-        stream.set_nodelay(true).map_err(|_| SendError::NotSent)?;
+            .map_err(|_| Unreachable)?
+            .map_err(|_| Unreachable)?;
+        stream.set_nodelay(true).map_err(|_| Unreachable)?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|_| SendError::NotSent)?;
+            .map_err(|_| Unreachable)?;
         let task = tokio::spawn(async move {
             // Errors reach the request that uses the connection.
             let _ = driver.await;
@@ -123,13 +127,13 @@
         request: Request<Upload>,
     ) -> Result<Response<Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
-            return Err(SendError::NotSent);
+            return Err(SendError::NotSent(Box::new(request.into_body())));
         }
         self.sender
             .try_send_request(request)
             .await
             .map_err(|mut error| match error.take_message() {
-                Some(_) => SendError::NotSent,
+                Some(request) => SendError::NotSent(Box::new(request.into_body())),
                 None => SendError::Broken,
             })
     }
--- a/crates/requests/src/handler.rs
+++ b/crates/requests/src/handler.rs
@@ -1,12 +1,15 @@
 //! The public interface.
 
+use std::convert::Infallible;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
+use admission::Source;
 use api::{Bucket, Claim, ClaimReply, Done, Lookup, RelayHead, SiblingLoad};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,13 +17,19 @@
 use rpc::{Client, Key};
 use slog::Logger;
 use tokio::io::{AsyncRead, AsyncWrite};
-use units::{HostName, Incarnation, Millis, ServiceName, Slots};
+use units::{HostName, Incarnation, ServiceId, ServiceName, Slots};
 use watcher::View;
 
-use crate::backend::Backend;
-use crate::body::{Download, Upload};
-use crate::outcome::Refusal;
-use crate::relay::RelayAnswer;
+use crate::body::Download;
+use crate::config::Config;
+use crate::counts::unix_now;
+use crate::forward;
+use crate::relay::{self, RelayAnswer};
+use crate::shared::Shared;
+use crate::watch::{Watch, Watched};
+
+/// Smallest buffer that hyper accepts.
+const MIN_HEAD: usize = 8 << 10;
 
 /// Settings of a handler.
 #[derive(Debug, Clone)]
@@ -82,115 +91,159 @@
     shared: Arc<Shared>,
 }
 
-#[derive(Debug)]
-struct Shared {
-    backend: Backend,
-    settings: HandlerSettings,
-}
-
 impl Handler {
-    /// Handler that knows no service until [`Handler::update`]; call it within a runtime.
+    /// Handler that refuses requests until [`Handler::update`]; call it within
+    /// a runtime. `client` seals with `key`, and siblings hold the same one.
     #[must_use]
-    pub fn new(settings: HandlerSettings, _client: Client, _key: Key, _log: Logger) -> Self {
-        let backend = Backend::new(settings.backend);
+    pub fn new(settings: HandlerSettings, client: Client, key: Key, log: Logger) -> Self {
         Self {
-            shared: Arc::new(Shared { backend, settings }),
+            shared: Shared::start(settings, client, key, log),
         }
     }
 
     /// Serves one connection until it is closed.
-    pub async fn serve<T>(&self, io: T, _caller: SocketAddrV4) -> ServeEnd
+    pub async fn serve<T>(&self, io: T, caller: SocketAddrV4) -> ServeEnd
     where
         T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let service = service_fn(|request| async {
-            Ok::<_, std::convert::Infallible>(self.forward(request).await)
+        let settings = &self.shared.settings;
+        let watch = Watch::new(settings.max_head, settings.head_timeout);
+        let io = TokioIo::new(Watched::new(io, watch.clone()));
+        let service = service_fn(|request| {
+            let (shared, watch) = (Arc::clone(&self.shared), watch.clone());
+            async move { Ok::<_, Infallible>(answer(&shared, request, &watch).await) }
         });
-        let served = http1::Builder::new()
-            .max_buf_size(self.shared.settings.max_head.max(8 << 10))
-            .serve_connection(TokioIo::new(io), service)
-            .await;
-        match served {
-            Ok(()) => ServeEnd::Closed,
-            Err(_) => ServeEnd::CallerLeft,
-        }
-    }
-
-    async fn forward(&self, request: Request<Incoming>) -> Response<Download> {
-        let Ok(mut connection) = self.shared.backend.connect(true).await else {
-            return Refusal::not_run("no connection", Duration::from_secs(1)).response();
+        let connection = http1::Builder::new()
+            .max_buf_size(settings.max_head.max(MIN_HEAD))
+            .serve_connection(io, service);
+        let mut connection = Box::pin(connection);
+        let served = tokio::select! {
+            served = &mut connection => Some(served),
+            () = watch.expired() => None,
         };
-        match connection.send(request.map(Upload::new)).await {
-            Ok(response) => {
-                self.shared.backend.give_back(connection);
-                response.map(Download::stream)
+        let end = match served {
+            _ if watch.is_cut() => ServeEnd::Cut,
+            Some(Ok(())) => ServeEnd::Closed,
+            Some(Err(error)) if error.is_parse() => ServeEnd::Invalid,
+            Some(Err(_)) => ServeEnd::CallerLeft,
+            None if watch.is_busy() => {
+                // Told before the connection is dropped, so that the
+                // response counts as cut.
+                watch.set_cut();
+                ServeEnd::Cut
             }
-            Err(_) => Refusal::unknown("the backend server failed").response(),
+            None => ServeEnd::Invalid,
+        };
+        drop(connection);
+        if end != ServeEnd::Closed {
+            slog::debug!(self.shared.log, "a connection ended";
+                "caller" => %caller, "end" => ?end);
         }
+        end
     }
 
     /// Takes profile, siblings, key sets and horizon of the service from a new view.
-    pub fn update(&self, _view: &View) {}
+    pub fn update(&self, view: &View) {
+        let config = Config::from_view(&self.shared.settings, view);
+        self.shared.configure(config);
+    }
 
     /// Relays all new requests from now on.
-    pub fn drain(&self) {}
+    pub fn drain(&self) {
+        self.shared.drain();
+    }
 
     /// Answers `/v1/claim`.
     #[must_use]
-    pub fn claim(&self, _claim: &Claim) -> ClaimReply {
-        ClaimReply::Unknown
+    pub fn claim(&self, claim: &Claim) -> ClaimReply {
+        if !self.serves(claim.service) {
+            return ClaimReply::Unknown;
+        }
+        self.shared.lock().replica.claim(unix_now(), claim)
     }
 
-    /// Answers `/v1/done`.
-    pub fn done(&self, _done: &Done) {}
+    /// Answers `/v1/done`, with nothing.
+    pub fn done(&self, done: &Done) {
+        if self.serves(done.service) {
+            self.shared.lock().replica.done(unix_now(), done);
+        }
+    }
 
     /// Answers `/v1/lookup`.
     #[must_use]
-    pub fn lookup(&self, _lookup: &Lookup) -> ClaimReply {
-        ClaimReply::Unknown
+    pub fn lookup(&self, lookup: &Lookup) -> ClaimReply {
+        if !self.serves(lookup.service) {
+            return ClaimReply::Unknown;
+        }
+        self.shared.lock().replica.lookup(unix_now(), lookup)
+    }
+
+    fn serves(&self, service: ServiceId) -> bool {
+        self.shared
+            .config()
+            .is_some_and(|config| config.service == service)
     }
 
-    /// Answers `/v1/load`; the agent knows its open flows.
+    /// Answers `/v1/load`, whose message is `()`; the agent knows its open flows.
     #[must_use]
     pub fn load(&self, flows: u32) -> SiblingLoad {
-        SiblingLoad {
-            flows,
-            ..SiblingLoad::default()
-        }
+        relay::load(&self.shared, flows)
     }
 
-    /// Answers `/v1/relay`.
-    pub async fn relay(&self, _head: RelayHead, _body: Bytes) -> RelayAnswer {
-        RelayAnswer::NotRun {
-            reason: "not serving".into(),
-            retry_ms: Millis(1_000),
-        }
+    /// Answers `/v1/relay`, whose message is a [`RelayMessage`](crate::RelayMessage).
+    pub async fn relay(&self, head: RelayHead, body: Bytes) -> RelayAnswer {
+        relay::serve(&self.shared, head, body).await
     }
 
     /// Last loads that siblings told, polled once per second.
     #[must_use]
     pub fn siblings(&self) -> Vec<(SocketAddrV4, SiblingLoad)> {
-        Vec::new()
+        let state = self.shared.lock();
+        state.loads.iter().map(|(a, load)| (*a, *load)).collect()
     }
 
     /// Takes the result of a health probe.
-    pub fn probed(&self, _good: bool) {}
+    pub fn probed(&self, good: bool) {
+        self.shared.observe(Source::Probe, good);
+    }
 
     /// Whether the backend server takes work, by requests and probes.
     #[must_use]
     pub fn healthy(&self) -> bool {
-        true
+        self.shared.lock().health.is_healthy()
     }
 
     /// Counts per class and minute since the last call.
     #[must_use]
     pub fn counts(&self) -> Vec<Bucket> {
-        Vec::new()
+        self.shared.lock().meter.take()
     }
 
-    /// Requests in progress or waiting.
+    /// Requests in progress or waiting, and open streams.
     #[must_use]
     pub fn busy(&self) -> usize {
-        0
+        let state = self.shared.lock();
+        let requests = state.admission.busy() + state.admission.waiting();
+        drop(state);
+        requests + self.shared.streams()
+    }
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    watch: &Watch,
+) -> Response<Download> {
+    watch.set_busy(true);
+    watch.set_body(None);
+    let mut response = forward::respond(shared, request, watch).await;
+    if !matches!(response.body(), Download::Stream(..)) {
+        watch.set_busy(false);
+    }
+    if watch.is_conflict() {
+        // Whatever follows can't be told from the body.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    response
 }
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -6,10 +6,22 @@
 
 mod backend;
 mod body;
+mod claims;
+mod config;
+mod counts;
+mod exchange;
+mod forward;
+mod framing;
 mod handler;
+mod headers;
 mod outcome;
 mod relay;
+mod request;
+mod shared;
+mod watch;
 
 pub use handler::{Handler, HandlerSettings, ServeEnd};
 pub use outcome::{DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, Outcome, REQUEST_HEADER};
-pub use relay::{MAX_RELAY_ANSWER, MAX_RELAY_BODY, MAX_RELAY_MESSAGE, RelayAnswer, RelayMessage};
+pub use relay::{
+    Binary, MAX_RELAY_ANSWER, MAX_RELAY_BODY, MAX_RELAY_MESSAGE, RelayAnswer, RelayMessage,
+};
--- a/crates/requests/src/outcome.rs
+++ b/crates/requests/src/outcome.rs
@@ -68,6 +68,12 @@
         Self::new(StatusCode::BAD_GATEWAY, Outcome::Unknown, reason)
     }
 
+    /// Status 504, unknown.
+    pub(crate) fn timed_out() -> Self {
+        let reason = "the deadline passed while the backend server ran the request";
+        Self::new(StatusCode::GATEWAY_TIMEOUT, Outcome::Unknown, reason)
+    }
+
     /// The response for the caller.
     pub(crate) fn response(&self) -> Response<Download> {
         let mut response = Response::new(Download::full(Bytes::from(format!("{}\n", self.reason))));
