--- a/crates/steering/src/cache.rs
+++ b/crates/steering/src/cache.rs
@@ -137,9 +137,7 @@
     /// Stores the candidates of a flow; `opens` marks a SYN.
     pub fn put(&mut self, hash: u64, generation: u32, now_s: u32, opens: bool, slot: Slot) {
         let idle_s = self.idle_s;
-        let packets = u8::from(!opens);
         let set = self.set(hash);
-        // An entry of an older generation is of no use, whoever it belongs to.
         let same = set.iter().position(|e| e.hash == hash);
         let stale = || set.iter().position(|e| e.generation == 0);
         let idle = || {
@@ -154,6 +152,9 @@
             candidates.min_by_key(|(_, e)| e.used_s).map(|(at, _)| at)
         };
         let place = same.or_else(stale).or_else(idle).or_else(opening);
+        // After a table change an established flow keeps its rank among the entries of its set.
+        let before = same.map_or(0, |at| set[at].packets);
+        let packets = if opens { 0 } else { before.saturating_add(1) };
         match place {
             Some(at) => {
                 set[at] = Entry {
--- a/crates/steering/src/maglev.rs
+++ b/crates/steering/src/maglev.rs
@@ -96,7 +96,7 @@
             && (3..)
                 .step_by(2)
                 .take_while(|d| d * d <= n)
-                .all(|d| n % d != 0)
+                .all(|d| !n.is_multiple_of(d))
     };
     (from.max(3)..).find(|n| is_prime(*n)).unwrap_or(from)
 }
--- a/crates/watcher/src/beat.rs
+++ b/crates/watcher/src/beat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats to the control leader.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
     beat: Box<dyn Fn() -> Beat + Send + Sync>,
     peers: Mutex<Peers>,
     wake: Notify,
+    left: AtomicBool,
 }
 
 impl std::fmt::Debug for Sender {
@@ -56,12 +58,14 @@
             beat,
             peers,
             wake: Notify::new(),
+            left: AtomicBool::new(false),
         }
     }
 
     pub(crate) async fn run(self: Arc<Self>, contact: watch::Sender<Contact>) {
         let mut reachable = true;
-        loop {
+        // A heartbeat after the leave would join again.
+        while !self.left.load(Ordering::Acquire) {
             let start = Instant::now();
             let result = self.send(false).await;
             let wait = match &result {
@@ -88,6 +92,7 @@
     }
 
     pub(crate) async fn leave(&self) {
+        self.left.store(true, Ordering::Release);
         let attempts = async {
             while self.send(true).await.is_err() {
                 tokio::time::sleep(RETRY).await;
