--- a/crates/steering/src/maglev.rs
+++ b/crates/steering/src/maglev.rs
@@ -7,8 +7,12 @@
 /// Members up to which rendezvous hashing is used.
 pub const MAGLEV_THRESHOLD: usize = 64;
 
-/// Table entries per member; fewer make shares uneven by more than 1%.
-const ENTRIES_PER_MEMBER: usize = 100;
+/// Table sizes, primes. A size that followed the number of members would move nearly every flow with
+/// each join, so a table only grows to the next step.
+const SIZES: [usize; 3] = [65_537, 524_309, 4_194_319];
+
+/// Table entries per member; with 100, a join moved 2.4 times the share of the new host.
+const ENTRIES_PER_MEMBER: usize = 1000;
 
 const EMPTY: u32 = u32::MAX;
 
@@ -28,7 +32,7 @@
     /// Table for at least one member.
     #[must_use]
     pub fn new(members: &[Ranked]) -> Self {
-        let size = next_prime(members.len().max(1) * ENTRIES_PER_MEMBER);
+        let size = table_size(members.len());
         let most = members
             .iter()
             .map(|member| u32::from(member.weight))
@@ -89,14 +93,7 @@
     }
 }
 
-fn next_prime(from: usize) -> usize {
-    let is_prime = |n: usize| {
-        n > 2
-            && n % 2 == 1
-            && (3..)
-                .step_by(2)
-                .take_while(|d| d * d <= n)
-                .all(|d| !n.is_multiple_of(d))
-    };
-    (from.max(3)..).find(|n| is_prime(*n)).unwrap_or(from)
+fn table_size(members: usize) -> usize {
+    let fits = |size: &&usize| **size >= members * ENTRIES_PER_MEMBER;
+    *SIZES.iter().find(fits).unwrap_or(&SIZES[SIZES.len() - 1])
 }
