Add burn, state and membership

Control needs its decisions apart from sockets and files, so that the same log gives the same state at each replica. The state machine checks every declaration again, keeps first outcomes by operator key and serves deltas; membership turns leases into proposals by comparing them with the state, so a lost proposal is made again. Event-driven proposals were ruled out: a lost one would need its own retry.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -30,7 +30,11 @@
     WatchReply,
 };
 
-/// Paths of the interfaces between processes.
+/// Paths of the interfaces between processes, and of operators to control.
+///
+/// A control replica that is not the leader answers status 421; the body of a
+/// path between processes is then the leader's address as `ip:port` and
+/// nothing else. Without a known leader the status is 503.
 pub mod path {
     /// Heartbeat of a node to the control leader.
     pub const HEARTBEAT: &str = "/v1/heartbeat";
@@ -50,4 +54,14 @@
     pub const RELAY: &str = "/v1/relay";
     /// Load of a sibling agent.
     pub const LOAD: &str = "/v1/load";
+    /// Declarations, for operators.
+    pub const DECLARATIONS: &str = "/v1/declarations";
+    /// Planned changes, for operators.
+    pub const ANNOUNCEMENTS: &str = "/v1/announcements";
+    /// Status, for operators.
+    pub const STATUS: &str = "/v1/status";
+    /// Report, for operators.
+    pub const REPORT: &str = "/v1/report";
+    /// Audit record, for operators.
+    pub const AUDIT: &str = "/v1/audit";
 }
--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -10,7 +10,7 @@
 pub struct PutRequest {
     /// Version of the declaration that the operator saw; 0 for a new one.
     pub expected: Version,
-    /// Idempotency key of the operator.
+    /// Idempotency key of the operator: `<unix ms>-<text>`, see [`crate::RequestKey`].
     pub key: Box<str>,
     /// Who asks.
     pub author: Box<str>,
@@ -23,7 +23,7 @@
 pub struct Retire {
     /// Version of the declaration that the operator saw.
     pub expected: Version,
-    /// Idempotency key of the operator.
+    /// Idempotency key of the operator: `<unix ms>-<text>`, see [`crate::RequestKey`].
     pub key: Box<str>,
     /// Who asks.
     pub author: Box<str>,
@@ -101,7 +101,7 @@
     pub start: Millis,
     /// Unix time at which it takes new work again.
     pub end: Millis,
-    /// Idempotency key of the operator.
+    /// Idempotency key of the operator: `<unix ms>-<text>`, see [`crate::RequestKey`].
     pub key: Box<str>,
     /// Who announces.
     pub author: Box<str>,
@@ -147,6 +147,9 @@
     InForce {
         /// Nodes that hold a lease and report the version.
         nodes: u32,
+        /// Hosts whose lease ended before they had the version.
+        #[serde(default)]
+        missing: Vec<HostName>,
     },
     /// A member joined, changed its state or left.
     Member {
--- a/crates/api/src/report.rs
+++ b/crates/api/src/report.rs
@@ -26,12 +26,12 @@
 impl Counts {
     /// Adds other counts.
     pub fn add(&mut self, other: &Self) {
-        self.good += other.good;
-        self.bad += other.bad;
-        self.not_run += other.not_run;
-        self.unknown += other.unknown;
-        self.kept += other.kept;
-        self.broken += other.broken;
+        self.good = self.good.saturating_add(other.good);
+        self.bad = self.bad.saturating_add(other.bad);
+        self.not_run = self.not_run.saturating_add(other.not_run);
+        self.unknown = self.unknown.saturating_add(other.unknown);
+        self.kept = self.kept.saturating_add(other.kept);
+        self.broken = self.broken.saturating_add(other.broken);
     }
 }
 
@@ -153,6 +153,9 @@
 pub struct Status {
     /// Newest configuration version.
     pub config: Version,
+    /// Newest configuration version that was in force at every live node.
+    #[serde(default)]
+    pub in_force: Version,
     /// Leader's address.
     pub leader: Box<str>,
     /// Control replicas: id, address, `voter` or `learner`, whether it answered lately.
--- a/crates/jsonc/src/lib.rs
+++ b/crates/jsonc/src/lib.rs
@@ -65,6 +65,16 @@
 }
 
 impl<T> Document<T> {
+    /// Value that did not come from a text; every position is the default.
+    #[must_use]
+    pub fn unplaced(value: T) -> Self {
+        Self {
+            file: "".into(),
+            value,
+            positions: BTreeMap::new(),
+        }
+    }
+
     /// Position of a path, or of its nearest parent that stands in the text.
     #[must_use]
     pub fn position(&self, path: &str) -> Position {
--- a/crates/profile/src/check.rs
+++ b/crates/profile/src/check.rs
@@ -4,7 +4,7 @@
 
 use jsonc::{Document, JsoncError};
 
-use crate::{Declarations, Profile, Protocol, Service, Tier};
+use crate::{Declaration, Declarations, Profile, Protocol, Service, Tier};
 
 /// Most classes in a profile.
 pub const MAX_CLASSES: usize = 32;
@@ -59,6 +59,25 @@
     errors
 }
 
+/// Findings on one declaration that did not come from a file, as `path: message`.
+///
+/// A service is checked together with the profile that it picks.
+#[must_use]
+pub fn check_one(declaration: &Declaration, picked: Option<&Profile>) -> Vec<Box<str>> {
+    let mut value = Declarations::default();
+    value.profiles.extend(picked.cloned());
+    match declaration {
+        Declaration::Profile(profile) => value.profiles = vec![profile.clone()],
+        Declaration::Service(service) => value.services = vec![service.clone()],
+    }
+    let text = |error: JsoncError| match error {
+        JsoncError::Invalid { path, message, .. } => format!("{path}: {message}").into(),
+        JsoncError::Read { .. } => error.to_string().into(),
+    };
+    let files = [Document::unplaced(value)];
+    check(&files).into_iter().map(text).collect()
+}
+
 struct Place<'a> {
     file: &'a Document<Declarations>,
     path: String,
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -10,7 +10,7 @@
 mod folder;
 mod model;
 
-pub use check::{MAX_CLASSES, check};
+pub use check::{MAX_CLASSES, check, check_one};
 pub use diff::{Change, ChangeKind, diff};
 pub use folder::{DeclarationError, Declarations, read_folder};
 pub use model::{
--- /dev/null
+++ b/crates/state/src/state.rs
@@ -0,0 +1,280 @@
+//! The state and how commands change it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use api::{Announce, AuditEntry, AuditEvent, BurnBatch, KeyMember, KeySet, Table};
+use burn::Ledger;
+use serde::{Deserialize, Serialize};
+use units::{HostName, Incarnation, Millis, ProfileName, ServiceId, ServiceName, Version};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::answers::Answers;
+use crate::audit::Audit;
+use crate::declare::{Named, ProfileEntry};
+use crate::key_log::KeyLog;
+use crate::table_log::TableLog;
+use crate::{Action, Command, Outcome, Plan, ServiceEntry, StateError, TableChange};
+
+/// Format of snapshots.
+const FORMAT: u8 = 1;
+
+/// Time in ms that a key set is kept beyond the key window, for clocks that differ.
+const KEY_SLACK_MS: u64 = 60_000;
+
+/// Author of entries that no operator made.
+const SYSTEM: &str = "control";
+
+/// Everything that control's replicas agree on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    pub(crate) index: u64,
+    /// Newest time of a command; never goes back.
+    pub(crate) now: Millis,
+    pub(crate) config: Version,
+    pub(crate) in_force: Version,
+    pub(crate) profiles: BTreeMap<ProfileName, ProfileEntry>,
+    pub(crate) services: BTreeMap<ServiceName, ServiceEntry>,
+    pub(crate) next_service: u32,
+    pub(crate) retired: VecDeque<(Version, ServiceId)>,
+    pub(crate) tables: BTreeMap<ServiceId, TableLog>,
+    pub(crate) keys: BTreeMap<ServiceId, KeyLog>,
+    pub(crate) horizon: Millis,
+    pub(crate) plans: BTreeMap<u64, Plan>,
+    pub(crate) next_plan: u64,
+    pub(crate) answers: Answers,
+    pub(crate) audit: Audit,
+    pub(crate) burn: Ledger,
+}
+
+impl State {
+    /// Applies a command of the log; returns the encoded [`Outcome`].
+    ///
+    /// An index that was applied already changes nothing.
+    pub fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        if index <= self.index {
+            return Outcome::Done.encode();
+        }
+        self.index = index;
+        match Command::decode(command) {
+            Ok(command) => self.run(&command).encode(),
+            Err(e) => Outcome::invalid(e.to_string()).encode(),
+        }
+    }
+
+    fn run(&mut self, command: &Command) -> Outcome {
+        self.now = self.now.max(command.at);
+        match &command.action {
+            Action::Put {
+                expected,
+                key,
+                author,
+                body,
+            } => {
+                let digest = digest(&(expected, author, body));
+                self.once(key, digest, |state| state.put(*expected, author, body))
+            }
+            Action::Retire {
+                kind,
+                name,
+                expected,
+                key,
+                author,
+            } => {
+                let named = Named {
+                    kind,
+                    name,
+                    expected: *expected,
+                    author,
+                };
+                let digest = digest(&(kind, name, expected, author));
+                self.once(key, digest, |state| state.retire(&named))
+            }
+            Action::Announce(request) => self.announce_once(request),
+            Action::Members(changes) => self.members(changes),
+            Action::KeySet { service, members } => self.key_set(*service, members),
+            Action::Horizon(until) => {
+                self.horizon = self.horizon.max(*until);
+                Outcome::Done
+            }
+            Action::InForce {
+                version,
+                nodes,
+                missing,
+            } => self.note_in_force(*version, *nodes, missing),
+            Action::Burn(batches) => self.count(batches),
+        }
+    }
+
+    /// Runs an operator's request unless its key was seen; keeps the outcome.
+    fn once(&mut self, key: &str, digest: u64, run: impl FnOnce(&mut Self) -> Outcome) -> Outcome {
+        match self.answers.check(self.now, key, digest) {
+            Ok(key) => {
+                let outcome = run(self);
+                self.answers.keep(key, digest, outcome.clone());
+                outcome
+            }
+            Err(outcome) => *outcome,
+        }
+    }
+
+    fn announce_once(&mut self, request: &Announce) -> Outcome {
+        let parts = (&request.target, request.start, request.end, &request.author);
+        self.once(&request.key, digest(&parts), |state| {
+            state.announce(request)
+        })
+    }
+
+    fn members(&mut self, changes: &[TableChange]) -> Outcome {
+        for change in changes {
+            let applied = self
+                .tables
+                .get_mut(&change.service)
+                .and_then(|log| log.apply(self.now, change));
+            let Some(applied) = applied else { continue };
+            let put = applied.put.iter().map(|m| (&m.host, m.state.to_string()));
+            let gone = applied.gone.iter().map(|(host, _)| (host, "gone".into()));
+            for (host, state) in put.chain(gone).collect::<Vec<_>>() {
+                let event = AuditEvent::Member {
+                    host: host.clone(),
+                    state: state.into(),
+                };
+                self.record(SYSTEM, Version(0), event);
+            }
+        }
+        Outcome::Done
+    }
+
+    fn key_set(&mut self, service: ServiceId, members: &[KeyMember]) -> Outcome {
+        let Some(entry) = self.services.values().find(|entry| entry.id == service) else {
+            return Outcome::unknown(format!("service id {service} does not exist"));
+        };
+        let profile = self.profiles.get(&entry.body.profile);
+        let window = profile.map_or(Millis(0), |entry| entry.body.keys.window_ms);
+        let before = self.now.since(Millis(window.0 + KEY_SLACK_MS));
+        let log = self.keys.entry(service).or_default();
+        log.add(self.horizon, members);
+        log.prune(before);
+        Outcome::Done
+    }
+
+    fn note_in_force(&mut self, version: Version, nodes: u32, missing: &[HostName]) -> Outcome {
+        if version > self.in_force && version <= self.config {
+            self.in_force = version;
+            let missing = missing.to_vec();
+            self.record(SYSTEM, version, AuditEvent::InForce { nodes, missing });
+        }
+        Outcome::Done
+    }
+
+    fn count(&mut self, batches: &[BurnBatch]) -> Outcome {
+        let mut numbers = Vec::new();
+        for batch in batches {
+            let service = self.services.get(&batch.service).map(|entry| entry.id);
+            numbers.push(service.map(|id| self.burn.add(self.now, id, batch)));
+        }
+        Outcome::Burn(numbers)
+    }
+
+    pub(crate) fn record(&mut self, author: &str, version: Version, event: AuditEvent) {
+        self.audit.add(AuditEntry {
+            at: self.now,
+            author: author.into(),
+            version,
+            event,
+        });
+    }
+
+    /// Bytes of the whole state.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        let mut raw = vec![FORMAT];
+        raw.extend(rmp_serde::to_vec_named(self).unwrap_or_default());
+        raw
+    }
+
+    /// Replaces the state by a snapshot; without effect on an error.
+    ///
+    /// # Errors
+    /// When the bytes are no snapshot of this format.
+    pub fn restore(&mut self, raw: &[u8]) -> Result<(), StateError> {
+        let known = FORMAT;
+        let (&found, body) = raw
+            .split_first()
+            .ok_or_else(|| StateError::Snapshot("it is empty".into()))?;
+        if found != known {
+            return Err(StateError::Format { found, known });
+        }
+        *self =
+            rmp_serde::from_slice(body).map_err(|e| StateError::Snapshot(e.to_string().into()))?;
+        Ok(())
+    }
+
+    /// Index of the last applied command.
+    #[must_use]
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Newest time of a command.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.now
+    }
+
+    /// Newest configuration version.
+    #[must_use]
+    pub fn config(&self) -> Version {
+        self.config
+    }
+
+    /// Newest configuration version that was in force everywhere.
+    #[must_use]
+    pub fn in_force(&self) -> Version {
+        self.in_force
+    }
+
+    /// Key times up to which the key sets are final.
+    #[must_use]
+    pub fn horizon(&self) -> Millis {
+        self.horizon
+    }
+
+    /// A service by name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
+        self.services.get(name)
+    }
+
+    /// Every service.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceEntry> {
+        self.services.values()
+    }
+
+    /// Every table.
+    pub fn tables(&self) -> impl Iterator<Item = &Table> {
+        self.tables.values().map(|log| &log.table)
+    }
+
+    /// Table of a service.
+    #[must_use]
+    pub fn table(&self, service: ServiceId) -> Option<&Table> {
+        self.tables.get(&service).map(|log| &log.table)
+    }
+
+    /// Highest incarnation that a host ever had in a service.
+    #[must_use]
+    pub fn known(&self, service: ServiceId, host: &HostName) -> Option<Incarnation> {
+        self.tables.get(&service)?.known(host)
+    }
+
+    /// Newest key set of a service.
+    #[must_use]
+    pub fn key_set_of(&self, service: ServiceId) -> Option<&KeySet> {
+        self.keys.get(&service)?.last()
+    }
+}
+
+/// Hash that tells requests under the same operator key apart.
+fn digest<T: Serialize>(request: &T) -> u64 {
+    xxh3_64(&rmp_serde::to_vec_named(request).unwrap_or_default())
+}
