--- /dev/null
+++ b/crates/storage/src/error.rs
@@ -0,0 +1,73 @@
+//! Errors of the files.
+
+use std::io;
+
+use thiserror::Error;
+
+/// Files that can't be used or written.
+#[derive(Debug, Error)]
+pub enum StorageError {
+    /// Another process uses the folder.
+    #[error("the folder {folder} is in use by another process; stop it or choose another folder")]
+    Locked {
+        /// Folder.
+        folder: Box<str>,
+    },
+    /// Records or a snapshot that were synced are damaged or missing.
+    #[error(
+        "{file} is damaged at byte {offset}: {message}; this replica must not vote with this folder: \
+         move the folder away and start with an empty one, the replica then joins again as a learner"
+    )]
+    Damaged {
+        /// File.
+        file: Box<str>,
+        /// Position in bytes.
+        offset: u64,
+        /// What is wrong.
+        message: Box<str>,
+    },
+    /// The disk or quota is full.
+    #[error("{step} {file}: the disk is full; free some space, nothing that was accepted is lost")]
+    Full {
+        /// Operation.
+        step: &'static str,
+        /// File.
+        file: Box<str>,
+    },
+    /// Missing rights.
+    #[error("{step} {file}: permission denied; the process needs to read and write the folder")]
+    Denied {
+        /// Operation.
+        step: &'static str,
+        /// File.
+        file: Box<str>,
+    },
+    /// Another failure of the file system.
+    #[error("{step} {file}: {source}")]
+    Io {
+        /// Operation.
+        step: &'static str,
+        /// File.
+        file: Box<str>,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A record that does not follow the last one.
+    #[error("record {index} does not follow record {last}")]
+    Gap {
+        /// Index of the record.
+        index: u64,
+        /// Last index of the log.
+        last: u64,
+    },
+    /// A record above the size limit.
+    #[error("record {index} of {size} bytes exceeds the limit of {limit} bytes")]
+    TooLarge {
+        /// Index of the record.
+        index: u64,
+        /// Size in bytes.
+        size: usize,
+        /// Limit in bytes.
+        limit: usize,
+    },
+}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,5 @@
 //! Checksummed log and snapshot files.
+
+mod error;
+
+pub use error::StorageError;
