Add the control process: declarations, heartbeats, watch, burn, reads

Balancers and agents need a control process to talk to. The handlers share the applied state under a read-write lock; a leader task ticks the membership and proposes its decisions, and a replica without contact to the leader refuses long polls so that nodes move on to another one. Answering them with old tables was ruled out: a change would not reach such a node within 5 s.

--- /dev/null
+++ b/bin/control/src/cli.rs
@@ -0,0 +1,13 @@
+//! Command line.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Keeps declarations, members and key sets in a replicated log.
+    cmd control {
+        /// Settings file, JSON with comments.
+        required --settings file: PathBuf
+        /// Check the settings and exit.
+        optional --check
+    }
+}
--- /dev/null
+++ b/bin/control/src/node.rs
@@ -0,0 +1,173 @@
+//! What the handlers and tasks of a control replica share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use cadence::{CountedExt, StatsdClient};
+use membership::{Membership, Now};
+use replica::{Machine, ProposeError, Replica};
+use rpc::Key;
+use state::{Action, Command, Outcome, State};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use units::Millis;
+
+use crate::burn::Waiting;
+use crate::settings::Settings;
+
+/// One control replica.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Shared key.
+    pub key: Key,
+    /// Metrics.
+    pub metrics: StatsdClient,
+    /// Batches that wait for a proposal.
+    pub batches: mpsc::Sender<Waiting>,
+    state: RwLock<State>,
+    changed: watch::Sender<u64>,
+    membership: Mutex<Membership>,
+    replica: OnceLock<Replica>,
+    stopping: AtomicBool,
+}
+
+impl Node {
+    /// Node whose replica is not started yet.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        key: Key,
+        metrics: StatsdClient,
+        batches: mpsc::Sender<Waiting>,
+    ) -> Self {
+        Self {
+            settings,
+            key,
+            metrics,
+            batches,
+            state: RwLock::default(),
+            changed: watch::Sender::new(0),
+            membership: Mutex::default(),
+            replica: OnceLock::new(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// State machine that the replica drives.
+    #[must_use]
+    pub fn machine(self: &Arc<Self>) -> Machine {
+        let (apply, snapshot, restore) = (Arc::clone(self), Arc::clone(self), Arc::clone(self));
+        Machine {
+            apply: Box::new(move |index, command| {
+                let mut state = apply.state.write().unwrap_or_else(PoisonError::into_inner);
+                let outcome = state.apply(index, command);
+                drop(state);
+                apply.changed.send_replace(index);
+                outcome
+            }),
+            snapshot: Box::new(move || snapshot.state().snapshot()),
+            restore: Box::new(move |raw| {
+                let mut state = restore
+                    .state
+                    .write()
+                    .unwrap_or_else(PoisonError::into_inner);
+                state.restore(raw).map_err(|e| Box::from(e.to_string()))?;
+                let index = state.index();
+                drop(state);
+                restore.changed.send_replace(index);
+                Ok(())
+            }),
+        }
+    }
+
+    /// Makes the started replica known to the handlers.
+    pub fn attach(&self, replica: Replica) {
+        // A second call can't happen: the replica is started once.
+        let _first = self.replica.set(replica);
+    }
+
+    /// The replica, once it is started.
+    ///
+    /// # Errors
+    /// [`ProposeError::Refused`] before that.
+    pub fn replica(&self) -> Result<&Replica, ProposeError> {
+        self.replica.get().ok_or_else(|| ProposeError::Refused {
+            reason: "the replica is starting; ask again".into(),
+        })
+    }
+
+    /// The applied state.
+    pub fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Leases of the leader.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes of the applied index.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Ends the long polls, so that they don't delay the stop.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Whether a stop was asked for.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Commits an action with the current time.
+    ///
+    /// # Errors
+    /// See [`ProposeError`].
+    pub async fn propose(&self, action: Action) -> Result<Outcome, ProposeError> {
+        let refused = |e: state::StateError| ProposeError::Refused {
+            reason: e.to_string().into(),
+        };
+        let command = Command {
+            at: now().unix,
+            action,
+        };
+        let raw = command.encode().map_err(refused)?;
+        let answer = self.replica()?.propose(raw).await;
+        self.count(if answer.is_ok() {
+            "proposal.committed"
+        } else {
+            "proposal.failed"
+        });
+        Outcome::decode(&answer?).map_err(|e| ProposeError::Unknown {
+            reason: e.to_string().into(),
+        })
+    }
+
+    /// Counts an event in the metrics.
+    pub fn count(&self, name: &str) {
+        // Metrics are best effort; a full queue must not fail a request.
+        let _sent = self.metrics.incr(name);
+    }
+}
+
+/// Current time.
+#[must_use]
+pub fn now() -> Now {
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Now {
+        mono: Instant::now(),
+        unix: Millis::from(unix),
+    }
+}
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -32,9 +32,9 @@
 
 /// Paths of the interfaces between processes, and of operators to control.
 ///
-/// A control replica that is not the leader answers status 421; the body of a
-/// path between processes is then the leader's address as `ip:port` and
-/// nothing else. Without a known leader the status is 503.
+/// A control replica that is not the leader answers status 421 with a
+/// [`crate::Failure`] as JSON that holds the leader's address; without a known
+/// leader the status is 503.
 pub mod path {
     /// Heartbeat of a node to the control leader.
     pub const HEARTBEAT: &str = "/v1/heartbeat";
