Add the ownership rules of flows

Cause: agents need one decision for each packet: hold, redirect, relay, accept, drop or reset. Epoch 0 marks redirected packets against loops.

--- /dev/null
+++ b/crates/flows/src/rules.rs
@@ -0,0 +1,187 @@
+//! Rules for packets.
+
+use tokio::time::Instant;
+use units::Epoch;
+use wire::{Candidate, Candidates, Flags, Header, Segment};
+
+use crate::flows::Service;
+use crate::held::Held;
+use crate::{Action, DropReason, Flows};
+
+/// Epoch of packets that an agent sent to the owner it knows; no table has it.
+const REDIRECTED: Epoch = Epoch(0);
+
+/// No candidate holds the flow; the first one that can accepts.
+const ACCEPT: Flags = Flags {
+    lookup: false,
+    accept: true,
+};
+
+/// Every candidate declined; the first one that can accepts, even if overloaded.
+const ACCEPT_ANYWAY: Flags = Flags {
+    lookup: true,
+    accept: true,
+};
+
+const LOOKUP: Flags = Flags {
+    lookup: true,
+    accept: false,
+};
+
+impl Flows {
+    pub(crate) fn packet(
+        &mut self,
+        now: Instant,
+        header: &Header,
+        segment: &Segment,
+        out: &mut Vec<Action>,
+    ) {
+        let service = match self.check(header, segment) {
+            Ok(service) => service,
+            Err(reason) => return out.push(Action::Drop(reason)),
+        };
+        let flow = segment.flow;
+        if let Some(held) = self.held.get_mut(&flow)
+            && held.fits(segment)
+        {
+            out.push(Action::Process);
+            let interval = self.settings.notice;
+            if let Some(to) = relay(header)
+                && held.established
+                && held.may_notify(now, to, interval)
+            {
+                let flows = vec![flow];
+                out.push(Action::Notify { to, flows });
+            }
+            return;
+        }
+        if header.epoch != REDIRECTED
+            && !header.flags.accept
+            && let Some(owner) = self.redirects.get(&flow, now)
+        {
+            return out.push(Action::Forward(redirected(header, owner, segment.opens())));
+        }
+        let action = if segment.opens() {
+            self.syn(now, service, header, segment)
+        } else if has_next(header) {
+            next(header, header.flags)
+        } else if segment.rst {
+            Action::Drop(DropReason::StrayReset)
+        } else if now < self.settled || self.held.contains_key(&flow) {
+            // A flow that is half-open here may be established at an agent beyond the list.
+            Action::Drop(DropReason::Unsettled)
+        } else {
+            Action::Reset
+        };
+        out.push(action);
+    }
+
+    fn check(&self, header: &Header, segment: &Segment) -> Result<Service, DropReason> {
+        let service = self.service.ok_or(DropReason::NoService)?;
+        if header.service != service.id {
+            return Err(DropReason::OtherService);
+        }
+        let here = header.candidates.get(usize::from(header.hop));
+        if here.is_none_or(|here| here.incarnation != self.me.incarnation) {
+            return Err(DropReason::OtherIncarnation);
+        }
+        // Flows that were opened before the service got another address go on.
+        if segment.flow.service != service.address && !self.held.contains_key(&segment.flow) {
+            return Err(DropReason::OtherAddress);
+        }
+        Ok(service)
+    }
+
+    fn syn(
+        &mut self,
+        now: Instant,
+        service: Service,
+        header: &Header,
+        segment: &Segment,
+    ) -> Action {
+        let only = header.candidates.len() == 1;
+        let flags = if only { ACCEPT_ANYWAY } else { header.flags };
+        if flags == LOOKUP {
+            return if has_next(header) {
+                next(header, LOOKUP)
+            } else {
+                first(header, ACCEPT)
+            };
+        }
+        let free = self.accepting && self.held.len() < service.limit;
+        if free && (flags == ACCEPT_ANYWAY || !self.passes_on(now, header)) {
+            self.redirects.remove(&segment.flow);
+            self.held.insert(segment.flow, Held::new());
+            Action::Accept
+        } else if has_next(header) {
+            next(header, flags)
+        } else if flags == ACCEPT_ANYWAY {
+            Action::Reset
+        } else {
+            first(header, ACCEPT_ANYWAY)
+        }
+    }
+
+    /// Whether the first choice leaves a SYN to the second one because of its load.
+    fn passes_on(&mut self, now: Instant, header: &Header) -> bool {
+        let Some(second) = header.candidates.get(1).filter(|_| header.hop == 0) else {
+            return false;
+        };
+        let Some(known) = self.members.get(second).filter(|k| k.takes_work) else {
+            return false;
+        };
+        let weight = self
+            .members
+            .get(&self.me)
+            .map_or(known.weight, |k| k.weight);
+        let own = self.held.len() + 1;
+        let exceeds = self.loads.exceeds(own, weight, *second, known.weight, now);
+        if exceeds {
+            self.loads.passed(*second);
+        }
+        exceeds
+    }
+}
+
+/// Agent that sends packets of a flow here without knowing that it is held here.
+fn relay(header: &Header) -> Option<Candidate> {
+    let informed = header.epoch == REDIRECTED && header.hop == 1;
+    (header.hop > 0 && !informed)
+        .then(|| header.candidates.first().copied())
+        .flatten()
+}
+
+fn has_next(header: &Header) -> bool {
+    usize::from(header.hop) + 1 < header.candidates.len()
+}
+
+fn next(header: &Header, flags: Flags) -> Action {
+    Action::Forward(Header {
+        hop: header.hop + 1,
+        flags,
+        ..*header
+    })
+}
+
+fn first(header: &Header, flags: Flags) -> Action {
+    Action::Forward(Header {
+        hop: 0,
+        flags,
+        ..*header
+    })
+}
+
+/// This agent, the owner, then the rest, so that the owner learns nothing new, and a wrong
+/// redirect still leads to every candidate.
+fn redirected(header: &Header, owner: Candidate, opens: bool) -> Header {
+    let here = header.candidates[usize::from(header.hop)];
+    let rest = header.candidates.iter().copied();
+    let candidates: Candidates = [here, owner].into_iter().chain(rest).collect();
+    Header {
+        hop: 1,
+        flags: if opens { LOOKUP } else { Flags::default() },
+        epoch: REDIRECTED,
+        candidates,
+        ..*header
+    }
+}
