Keep the service side silent before the handshake completes

Cause: a half-open connection that timed out or was discarded sent RST, which could hit the connection that another agent opened with the same SYN. Change: the service side ends without a packet until it is established; establish() runs the handshake on its own so that the backend is only contacted for real flows.

--- a/crates/netstack/src/connection.rs
+++ b/crates/netstack/src/connection.rs
@@ -58,6 +58,8 @@
     handle: SocketHandle,
     flow: Flow,
     base: Instant,
+    /// Service side.
+    passive: bool,
     settings: StackSettings,
     initial_seq: Option<u32>,
     /// Replies of smoltcp to a packet, sent by the next poll.
@@ -83,6 +85,7 @@
     #[must_use]
     pub fn accept(settings: &StackSettings, flow: Flow, now: Instant, seed: u64) -> Self {
         let mut connection = Self::new(settings, flow, now, seed, flow.service.ip().octets());
+        connection.passive = true;
         // A port above 0 on a new socket is always accepted.
         let listening = connection.socket().listen(flow.service.port());
         if listening.is_err() {
@@ -133,6 +136,7 @@
             handle,
             flow,
             base: now,
+            passive: false,
             settings: settings.clone(),
             initial_seq: None,
             replies: Vec::new(),
@@ -201,7 +205,10 @@
         for reply in self.replies.drain(..) {
             send(&reply);
         }
-        if matches!(self.end, Some(end) if end != FlowEnd::Aborted) {
+        self.check_handshake(now);
+        // Another agent may have completed the handshake; RST could hit its connection.
+        let silent = self.passive && !self.established;
+        if matches!(self.end, Some(end) if end != FlowEnd::Aborted || silent) {
             return None;
         }
         let before = self.socket_ref().state();
@@ -351,6 +358,13 @@
         }
     }
 
+    fn check_handshake(&mut self, now: Instant) {
+        let late = now >= self.base + self.settings.handshake;
+        if late && !self.established {
+            self.end.get_or_insert(FlowEnd::TimedOut);
+        }
+    }
+
     fn linger_over(&self, now: Instant) -> bool {
         let over = |since| now >= since + self.settings.linger;
         self.quiet_since.is_some_and(over) && self.socket_ref().recv_queue() == 0
@@ -378,10 +392,8 @@
             let micros = u64::try_from(next.total_micros()).unwrap_or(0);
             (self.base + Duration::from_micros(micros)).max(now)
         });
-        match (linger, next) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        let handshake = (!self.established).then(|| self.base + self.settings.handshake);
+        [linger, next, handshake].into_iter().flatten().min()
     }
 
     fn elapsed(&self, now: Instant) -> smoltcp::time::Instant {
--- a/crates/netstack/src/stream.rs
+++ b/crates/netstack/src/stream.rs
@@ -79,6 +79,30 @@
     poll_fn(|cx| driver.step(cx, &mut packets, &mut send)).await
 }
 
+/// Completes the handshake; returns how it failed otherwise.
+pub async fn establish(
+    connection: &mut Connection,
+    packets: &mut mpsc::Receiver<Bytes>,
+    mut send: impl FnMut(&[u8]) + Send,
+) -> Option<FlowEnd> {
+    loop {
+        let deadline = connection.poll_with(Instant::now(), &mut send);
+        match connection.state() {
+            State::Handshake => {}
+            State::Ended(end) => return Some(end),
+            State::Open | State::Lingering => return None,
+        }
+        let wake = deadline.unwrap_or_else(|| Instant::now() + MIN_WAIT);
+        tokio::select! {
+            packet = packets.recv() => match packet {
+                Some(packet) => connection.receive(Instant::now(), &packet),
+                None => connection.abort(),
+            },
+            () = sleep_until(wake) => {}
+        }
+    }
+}
+
 struct Driver<A> {
     connection: Connection,
     /// Dropped when both of its directions are done.
