--- /dev/null
+++ b/bin/load/src/lib.rs
@@ -0,0 +1,6 @@
+//! Test doubles and experiments: backend server, fabric, callers, faults, runs.
+//!
+//! The parts are a library, so that integration tests use them within their
+//! own process; the program `load` offers them as subcommands.
+
+pub mod backend;
