--- a/crates/admission/src/budget.rs
+++ b/crates/admission/src/budget.rs
@@ -27,12 +27,12 @@
         }
     }
 
-    /// Changes the share.
+    /// Changes the share; the tokens of a budget that was zero start again.
     pub fn set_share(&mut self, share: f64) {
-        self.share = share;
-        if share <= 0.0 {
-            self.tokens = 0.0;
+        if share <= 0.0 || self.share <= 0.0 {
+            *self = Self::new(share);
         }
+        self.share = share;
     }
 
     /// Counts a first attempt.
