--- a/crates/profile/tests/declarations.rs
+++ b/crates/profile/tests/declarations.rs
@@ -1,5 +1,7 @@
 //! Declarations that operators write, and what they are told about mistakes.
 
+#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
 use std::path::Path;
 
 use profile::{ChangeKind, Declaration, diff, read_folder};
--- a/crates/steering/tests/steering.rs
+++ b/crates/steering/tests/steering.rs
@@ -1,5 +1,7 @@
 //! Shares, disruption and the flow cache.
 
+#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
--- a/crates/watcher/tests/view.rs
+++ b/crates/watcher/tests/view.rs
@@ -1,5 +1,7 @@
 //! Versions of a view only rise.
 
+#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use api::{KeySet, Member, MemberState, ServiceView, Table, TableDelta, TableUpdate, WatchReply};
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,5 +1,7 @@
 //! Damaged, truncated and forged datagrams.
 
+#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use etherparse::PacketBuilder;
