Add the agent

Cause: backend servers need a process that owns their flows, admits requests, announces the server and leaves without breaking flows. Change: packet loop with the ownership rules, one task per flow, health probes with hysteresis, warm-up, sibling polls, burn batches, HTTP interface, planned stop.

--- /dev/null
+++ b/bin/agent/src/cli.rs
@@ -0,0 +1,13 @@
+//! Command line.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Terminates the flows of one backend server.
+    cmd agent {
+        /// Settings file, JSON with comments.
+        required --settings file: PathBuf
+        /// Check the settings and exit.
+        optional --check
+    }
+}
--- a/bin/agent/src/main.rs
+++ b/bin/agent/src/main.rs
@@ -1,3 +1,29 @@
-//! agent.
+//! Agent: terminates the flows of one backend server and admits its requests.
 
-fn main() {}
+mod burn;
+mod cli;
+mod error;
+mod flow;
+mod health;
+mod http;
+mod packets;
+mod reset;
+mod run;
+mod settings;
+mod shared;
+mod siblings;
+mod standing;
+mod stats;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = cli::Agent::from_env_or_exit();
+    match run::run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("agent: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
