--- /dev/null
+++ b/bin/jacinthsill/src/cli.rs
@@ -0,0 +1,138 @@
+//! Command line.
+
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use api::TargetKind;
+use units::HostName;
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Output {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs.
+    Json,
+}
+
+impl FromStr for Output {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(format!("{text:?} is not text or json")),
+        }
+    }
+}
+
+/// Kind of a declaration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Profile.
+    Profile,
+    /// Service.
+    Service,
+}
+
+impl Kind {
+    /// As it stands in paths.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Profile => "profile",
+            Self::Service => "service",
+        }
+    }
+}
+
+impl FromStr for Kind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "profile" => Ok(Self::Profile),
+            "service" => Ok(Self::Service),
+            _ => Err(format!("{text:?} is not profile or service")),
+        }
+    }
+}
+
+xflags::xflags! {
+    /// Declares profiles and services, announces planned changes and reads the
+    /// report. Exit codes: 0 done, 1 failure, 2 usage or invalid declaration,
+    /// 3 conflict, 4 not in force yet or differences found, 5 control unreachable.
+    cmd jacinthsill {
+        /// Control replicas as ip:port, separated by commas; default from JACINTHSILL_CONTROL.
+        optional --control addresses: String
+        /// text or json.
+        optional --output output: Output
+        /// Who makes the change; default from JACINTHSILL_AUTHOR or USER.
+        optional --author name: String
+        /// Seconds until an unanswered request is given up; default 15.
+        optional --timeout seconds: u64
+
+        /// Checks the declarations in a folder without control.
+        cmd check {
+            required dir: PathBuf
+        }
+        /// Shows what apply would change; exit code 4 if there is anything.
+        cmd plan {
+            required dir: PathBuf
+            /// Count declarations that are not in the folder as retired.
+            optional --retire
+        }
+        /// Makes control's declarations equal to those in a folder.
+        cmd apply {
+            required dir: PathBuf
+            /// Retire declarations that are not in the folder.
+            optional --retire
+            /// Wait until the changes are in force everywhere; exit code 4 if they are not.
+            optional --wait seconds: u64
+        }
+        /// Shows one declaration.
+        cmd get {
+            /// profile or service.
+            required kind: Kind
+            required name: String
+        }
+        /// Lists every declaration.
+        cmd list {
+        }
+        /// Retires a declaration.
+        cmd retire {
+            /// profile or service.
+            required kind: Kind
+            required name: String
+            /// Version that you saw; the current one if left out.
+            optional --expected version: u64
+            /// Operator key of an earlier attempt whose outcome is unknown.
+            optional --key key: String
+            /// Wait until the change is in force everywhere.
+            optional --wait seconds: u64
+        }
+        /// Announces a planned change of a VM.
+        cmd announce {
+            /// backend-server, balancer or control.
+            required kind: TargetKind
+            required host: HostName
+            /// Start: now, +30s, +5m, +2h, RFC 3339 or Unix ms.
+            required --start time: String
+            /// End: likewise; a span counts from the start.
+            required --end time: String
+            /// Operator key of an earlier attempt whose outcome is unknown.
+            optional --key key: String
+        }
+        /// Shows control replicas, nodes and the newest change.
+        cmd status {
+        }
+        /// Shows burn rates, silent agents, flows and every change.
+        cmd report {
+        }
+        /// Shows the audit record.
+        cmd audit {
+        }
+    }
+}
--- a/crates/state/src/declare.rs
+++ b/crates/state/src/declare.rs
@@ -174,7 +174,7 @@
             }
         } else if self.services.len() >= MAX_SERVICES {
             return Some(Outcome::full(format!("{MAX_SERVICES} services exist")));
-        } else if self.next_service >= MAX_NUMBER {
+        } else if self.last_service >= MAX_NUMBER {
             return Some(Outcome::full("every service id was used"));
         }
         let declaration = Declaration::Service(service.clone());
@@ -189,8 +189,8 @@
             entry.body = service.clone();
             return;
         }
-        self.next_service += 1;
-        let id = ServiceId::new(service.region, self.next_service);
+        self.last_service += 1;
+        let id = ServiceId::new(service.region, self.last_service);
         let entry = ServiceEntry {
             id,
             version,
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -53,8 +53,8 @@
         if self.plans.len() >= MAX_PLANS {
             return Outcome::full(format!("{MAX_PLANS} planned changes have not ended yet"));
         }
-        let number = self.next_plan;
-        self.next_plan += 1;
+        self.last_plan += 1;
+        let number = self.last_plan;
         let plan = Plan {
             target: request.target.clone(),
             start: request.start,
