--- a/crates/requests/tests/suite/limits.rs
+++ b/crates/requests/tests/suite/limits.rs
@@ -178,5 +178,14 @@
     let answer = once(address, "GET /read?hopeless=1", headers, "").await;
     assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
     assert!(start.elapsed() < Duration::from_millis(200));
+    // Not even its body is wanted.
+    let mut caller = Caller::connect(address).await;
+    let head = "host: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\n";
+    caller
+        .send(&format!(
+            "POST /read?hopeless=1 HTTP/1.1\r\n{head}{headers}\r\n"
+        ))
+        .await;
+    assert_eq!(caller.answer(false).await.unwrap().status, 503);
     assert_eq!(all.began("hopeless"), 0);
 }
