Count answers and refusals of siblings at once

A sibling got at most as many relayed requests per second as it had free slots at the last poll, since nothing told that one of them had ended. An answer now frees its slot in the sender's count and a refusal takes all until the next poll. Polling ten times as often was ruled out: the traffic grows with the square of the members.

--- a/crates/admission/examples/policy/load.rs
+++ b/crates/admission/examples/policy/load.rs
@@ -88,7 +88,7 @@
 
 /// Time to the next arrival.
 pub fn gap(rate: f64, rng: &mut SmallRng) -> Duration {
-    let uniform: f64 = rng.random::<f64>().max(f64::MIN_POSITIVE);
+    let uniform = rng.random::<f64>().max(f64::MIN_POSITIVE);
     Duration::from_secs_f64(-uniform.ln() / rate)
 }
 
--- a/crates/admission/examples/policy/report.rs
+++ b/crates/admission/examples/policy/report.rs
@@ -15,6 +15,8 @@
     pub arrival: Duration,
     pub deadline: Duration,
     pub host: usize,
+    /// Sibling that it was handed to.
+    pub relayed: Option<usize>,
     pub begun: Option<Duration>,
     pub refused: Option<Duration>,
     /// End of a complete answer.
--- a/crates/admission/examples/policy/world.rs
+++ b/crates/admission/examples/policy/world.rs
@@ -31,6 +31,7 @@
     Cancel { host: usize, id: u64 },
     Relayed { host: usize, id: u64 },
     Returned { host: usize, id: u64 },
+    Answered { host: usize, from: usize },
     Wake { host: usize },
     Poll,
 }
@@ -185,6 +186,7 @@
             Step::Finish { host, id } => {
                 if let Some(mut done) = self.requests.remove(&id) {
                     done.end = Some(self.now - self.start);
+                    self.answered(&done);
                     self.finished.push(done);
                     self.handle(
                         host,
@@ -197,6 +199,7 @@
             }
             Step::Cancel { host, id } => {
                 if let Some(done) = self.requests.remove(&id) {
+                    self.answered(&done);
                     self.finished.push(done);
                     self.handle(
                         host,
@@ -208,7 +211,13 @@
                 }
             }
             Step::Relayed { host, id } => self.relayed(host, id),
-            Step::Returned { host, id } => self.offer(host, id),
+            Step::Returned { host, id } => {
+                if let Some(from) = self.requests.get(&id).and_then(|done| done.relayed) {
+                    self.hosts[host].1.declined(address(from));
+                }
+                self.offer(host, id);
+            }
+            Step::Answered { host, from } => self.hosts[host].1.answered(address(from)),
             Step::Wake { host } => {
                 self.wakes[host] = None;
                 self.handle(host, Event::Tick);
@@ -220,6 +229,14 @@
         }
     }
 
+    /// Tells the agent that relayed a request that it is over.
+    fn answered(&mut self, done: &Done) {
+        if let Some(from) = done.relayed {
+            let host = done.host;
+            self.push(self.deployment.delay, Step::Answered { host, from });
+        }
+    }
+
     fn poll(&mut self) {
         let loads: Vec<Sibling> = self.hosts.iter().map(|(a, _)| self.load(a)).collect();
         for (_, siblings) in &mut self.hosts {
@@ -249,6 +266,7 @@
             host,
             begun: None,
             refused: None,
+            relayed: None,
             end: None,
         };
         self.requests.insert(id, done);
@@ -259,6 +277,9 @@
             && let Some(to) = siblings.choose(self.now, &[], &mut self.choices)
         {
             let to = usize::from(to.port()) - 1;
+            if let Some(done) = self.requests.get_mut(&id) {
+                done.relayed = Some(to);
+            }
             self.push(self.deployment.delay, Step::Relayed { host: to, id });
         } else {
             self.offer(host, id);
--- a/crates/admission/src/siblings.rs
+++ b/crates/admission/src/siblings.rs
@@ -74,6 +74,20 @@
         }
     }
 
+    /// A request sent there was answered, so that its slot is free again.
+    pub fn answered(&mut self, address: SocketAddrV4) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.sent = known.sent.saturating_sub(1);
+        }
+    }
+
+    /// A sibling did not run a request: it has no free slot until it tells a load again.
+    pub fn declined(&mut self, address: SocketAddrV4) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.sent = known.load.slots;
+        }
+    }
+
     /// A sibling that could not be reached is not chosen until it tells a load again.
     pub fn failed(&mut self, address: SocketAddrV4) {
         if let Some(known) = self.known.get_mut(&address) {
--- a/crates/admission/tests/rules.rs
+++ b/crates/admission/tests/rules.rs
@@ -405,6 +405,12 @@
     }
     assert_eq!(sent, [0, 2, 0, 0, 4, 0]);
     assert!(!siblings.has_free(now));
+    // An answer frees the slot again, a refusal takes all until the next report.
+    siblings.answered(members[1]);
+    assert_eq!(siblings.choose(now, &[], &mut rng), Some(members[1]));
+    siblings.answered(members[1]);
+    siblings.declined(members[1]);
+    assert!(!siblings.has_free(now));
     siblings.observe(now, members[1], load(0));
     assert!(siblings.has_free(now + ms(3_000)) && !siblings.has_free(now + ms(3_001)));
     assert_eq!(siblings.choose(now, &[members[1]], &mut rng), None);
--- a/crates/requests/src/relay.rs
+++ b/crates/requests/src/relay.rs
@@ -162,7 +162,14 @@
         .post(sibling.http.into(), path::RELAY, &message, left + GRACE)
         .await;
     match answer {
-        Ok(answer) => relayed(answer),
+        Ok(answer) => {
+            let siblings = &mut shared.lock().siblings;
+            match &answer {
+                RelayAnswer::NotRun { .. } => siblings.declined(sibling.http),
+                _ => siblings.answered(sibling.http),
+            }
+            relayed(answer)
+        }
         Err(error) => {
             shared.lock().siblings.failed(sibling.http);
             slog::debug!(shared.log, "a relay failed"; "error" => %error);
