Estimate the wait of short work without long work

Long work is now taken as a lost slot instead. Leaving out the early refusal was ruled out: refusals would come late.

--- a/crates/admission/src/admit.rs
+++ b/crates/admission/src/admit.rs
@@ -283,29 +283,42 @@
             return 0.0;
         }
         let tier = self.tier(class);
-        let slots = self.slots(now);
+        let slots = usize::from(self.slots(now));
+        let long = self.long(now);
+        // Long work keeps its slot for longer than short work may wait, so
+        // short work shares the other slots. Counting the rest of the long
+        // work instead refused short work that had time enough.
         let usable = if limits.short {
-            slots
+            slots.saturating_sub(long).max(1)
         } else {
-            slots.saturating_sub(self.limits.reserved).max(1)
+            slots
+                .saturating_sub(usize::from(self.limits.reserved))
+                .max(1)
         };
+        let skips_long = limits.short && long < slots;
         let mut work = 0.0;
         for running in self.running.values() {
-            if limits.short || running.long {
+            let age = now.saturating_duration_since(running.begun);
+            let is_long = running.long || self.limits.contain && age >= self.limits.long_after;
+            let counts = if limits.short {
+                !(skips_long && is_long)
+            } else {
+                running.long
+            };
+            if counts {
                 let mean = self.mean(running.class);
-                let age = now.saturating_duration_since(running.begun).as_secs_f64();
-                work += (mean - age).max(TAIL * mean);
+                work += (mean - age.as_secs_f64()).max(TAIL * mean);
             }
         }
         for waiting in self.queue.iter() {
             let before = waiting.tier > tier
                 || waiting.tier == tier
                     && (self.limits.order == Order::Arrival || waiting.deadline <= deadline);
-            if before && (limits.short || !waiting.short) {
+            if before && waiting.short == limits.short {
                 work += self.mean(waiting.class);
             }
         }
-        work / f64::from(usable)
+        work / usable as f64
     }
 
     fn refuse(&self, now: Instant, id: u64, class: usize, reason: Reason) -> Action {
