Displace waiting requests that have no chance

Under overload the p99 of the time until a refusal was 5 s: bulk requests waited for their whole deadline behind higher tiers. An arrival now displaces one request of a lower tier when more than four per slot of its own tier and above wait, and the oldest of its class when more than eight per slot wait for more than half of the time.

The new test fails with the displacement, or either half of it, off.

--- a/crates/admission/examples/policy/main.rs
+++ b/crates/admission/examples/policy/main.rs
@@ -38,6 +38,7 @@
             order: Order::Arrival,
             tiers: false,
             refuse_early: false,
+            shed_waiting: false,
             drop_late: false,
             contain: false,
             ..Limits::default()
@@ -51,10 +52,11 @@
 
 /// The whole policy, without one mechanism each, and the baseline.
 fn policies(deployment: &Deployment) -> Vec<(&'static str, Policy)> {
-    let without: [(&str, Change); 10] = [
+    let without: [(&str, Change); 11] = [
         ("whole", |_| {}),
         ("no tiers", |p| p.limits.tiers = false),
         ("no early refusal", |p| p.limits.refuse_early = false),
+        ("no displacement", |p| p.limits.shed_waiting = false),
         ("no late drop", |p| p.limits.drop_late = false),
         ("by deadline only", |p| p.limits.order = Order::Deadline),
         ("by arrival", |p| p.limits.order = Order::Arrival),
--- a/crates/admission/src/admit.rs
+++ b/crates/admission/src/admit.rs
@@ -180,6 +180,12 @@
             self.queue.remove(victim.id);
             out.push(self.refuse(now, victim.id, victim.class, Reason::Displaced));
         }
+        if self.limits.shed_waiting && !self.is_free(now, class) {
+            for victim in self.hopeless(now, class, deadline) {
+                self.queue.remove(victim.id);
+                out.push(self.refuse(now, victim.id, victim.class, Reason::Displaced));
+            }
+        }
         self.sequence += 1;
         let request = Waiting {
             id,
@@ -193,6 +199,31 @@
             .push(request, self.limits.order != Order::Arrival);
     }
 
+    /// Waiting requests that an arrival leaves without a chance: the oldest of
+    /// its class when newer ones fill half of its time, and one of a lower
+    /// tier when its own tier and those above keep the slots busy.
+    fn hopeless(&self, now: Instant, class: usize, deadline: Instant) -> Vec<Waiting> {
+        let tier = self.tier(class);
+        let left = deadline.saturating_duration_since(now).as_secs_f64();
+        let far = now + Duration::from_secs(86_400);
+        let mut victims = Vec::new();
+        // A short queue of work that varies much would be given up too early.
+        let deep = self.queue.of_class(class) > 2 * self.depth();
+        if deep && self.expected_wait(now, class, far) > left / 2.0 {
+            victims.extend(self.queue.first(|request| request.class == class));
+        }
+        let above = self.queue.iter().filter(|request| request.tier >= tier);
+        if above.count() > self.depth() {
+            victims.extend(self.queue.first(|request| request.tier < tier));
+        }
+        victims
+    }
+
+    /// Waiting requests that show an overload.
+    fn depth(&self) -> usize {
+        4 * usize::from(self.limits.slots.max(1))
+    }
+
     fn end(&mut self, now: Instant, id: u64, ended: Ended) {
         let Some(running) = self.running.remove(&id) else {
             return;
@@ -242,8 +273,7 @@
     /// Whether the first of a class waited so long that it can hardly finish:
     /// serving old requests first would then make each one late.
     fn is_overloaded(&self, first: &Waiting) -> bool {
-        let slots = usize::from(self.limits.slots.max(1));
-        self.queue.of_class(first.class) > 4 * slots
+        self.queue.of_class(first.class) > self.depth()
     }
 
     fn cannot_finish(&self, now: Instant, request: &Waiting) -> bool {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -74,6 +74,8 @@
     pub tiers: bool,
     /// Whether a request that can't finish in time is refused at arrival.
     pub refuse_early: bool,
+    /// Whether arrivals displace waiting requests that have no chance any more.
+    pub shed_waiting: bool,
     /// Whether a request that can't finish in time is dropped before it begins.
     pub drop_late: bool,
     /// Whether a request of a short class counts as long once it ran for `long_after`.
@@ -93,6 +95,7 @@
             order: Order::Adaptive,
             tiers: true,
             refuse_early: true,
+            shed_waiting: true,
             drop_late: true,
             contain: true,
         }
--- a/crates/admission/tests/rules.rs
+++ b/crates/admission/tests/rules.rs
@@ -432,3 +432,34 @@
     bench.arrive(CRITICAL, 1_000);
     assert_eq!(bench.end(1, Ended::Answered), [Action::Begin { id: first }]);
 }
+
+/// Guards against requests without a chance that wait until their deadline
+/// before their caller is told.
+#[test]
+fn an_overload_displaces_what_has_no_chance() {
+    let mut bench = Bench::new(Limits {
+        slots: 1,
+        ..limits()
+    });
+    bench.teach(SHORT, 100);
+    bench.begins(SHORT);
+    let (bulk, _) = bench.arrive(BULK, 60_000);
+    let (oldest, _) = bench.arrive(SHORT, 2_000);
+    for _ in 0..3 {
+        assert_eq!(refused(&bench.arrive(SHORT, 2_000).1), []);
+    }
+    // More than four requests of higher tiers wait: the bulk one gives way.
+    bench.arrive(SHORT, 2_000);
+    assert_eq!(
+        refused(&bench.arrive(SHORT, 2_000).1),
+        [(bulk, Reason::Displaced)]
+    );
+    for _ in 0..3 {
+        assert_eq!(refused(&bench.arrive(SHORT, 2_000).1), []);
+    }
+    // More than eight of the class wait, for more than half of the time left.
+    assert_eq!(
+        refused(&bench.arrive(SHORT, 1_900).1),
+        [(oldest, Reason::Displaced)]
+    );
+}
