Add fabric, callers, ledger and the first subcommands of load

The demonstration and the integration tests need callers that know what they sent. The fabric sprays each packet to a random balancer; callers run on netstack and check every byte; the ledger compares what callers were told with what backend servers recorded.

--- a/bin/load/src/backend/mod.rs
+++ b/bin/load/src/backend/mod.rs
@@ -2,6 +2,7 @@
 
 mod behaviour;
 mod body;
+mod fetch;
 mod http;
 mod record;
 mod tcp;
@@ -20,7 +21,8 @@
 
 pub use behaviour::{Behaviour, Claim, Straggle};
 pub use body::content;
-pub use record::{End, Entry, Record, Summary};
+pub use fetch::fetch;
+pub use record::{End, Entry, Record, Summary, unix_ms};
 
 /// Connections open at a time; further ones wait.
 const MAX_CONNECTIONS: usize = 8_192;
--- a/bin/load/src/backend/record.rs
+++ b/bin/load/src/backend/record.rs
@@ -72,7 +72,9 @@
 #[derive(Debug, Default)]
 pub struct Record(Mutex<Inner>);
 
-pub(super) fn unix_ms() -> u64 {
+/// Unix time in ms.
+#[must_use]
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |span| {
         u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
--- /dev/null
+++ b/bin/load/src/cli.rs
@@ -0,0 +1,66 @@
+//! Command line.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Test doubles, faults and experiments for jacinthsill.
+    cmd load {
+        /// Backend server stand-in.
+        cmd backend {
+            /// Settings file; the other options are not needed with it.
+            optional --settings settings: PathBuf
+            /// Address to listen on.
+            optional --listen listen: SocketAddr
+            /// Name in answers.
+            optional --host host: String
+            /// Requests in progress at a time.
+            optional --slots slots: usize
+            /// Echo bytes instead of answering HTTP requests.
+            optional --echo
+            /// Exit after this many seconds; 600 if left out.
+            optional --seconds seconds: u64
+        }
+        /// Passes callers' packets to random balancers and agents' packets to callers.
+        cmd fabric {
+            /// Settings file.
+            required settings: PathBuf
+            /// Exit after this many seconds; 600 if left out.
+            optional --seconds seconds: u64
+        }
+        /// Fault-injecting proxy; reads a plan as JSON from each line of standard input.
+        cmd proxy {
+            /// Address to listen on.
+            required listen: SocketAddr
+            /// Address to pass traffic to.
+            required target: SocketAddr
+            /// Pass TCP instead of UDP.
+            optional --tcp
+            /// Seed; 1 if left out.
+            optional --seed seed: u64
+            /// First plan as JSON; no faults if left out.
+            optional --plan plan: String
+            /// Exit after this many seconds; 600 if left out.
+            optional --seconds seconds: u64
+        }
+        /// Callers of the demonstration; `scripts/demo.sh` starts the other processes.
+        cmd demo {
+            /// Address that agents send answers to.
+            required --fabric fabric: SocketAddr
+            /// Address of a balancer.
+            repeated --balancer balancer: SocketAddr
+            /// Address of the HTTP service.
+            required --http http: SocketAddrV4
+            /// Address of the TCP service.
+            required --tcp tcp: SocketAddrV4
+            /// Address of a backend server's record of the HTTP service.
+            repeated --record record: SocketAddr
+            /// Flows of the TCP service.
+            optional --flows flows: usize
+            /// Connections for requests.
+            optional --connections connections: usize
+            /// Longest run in seconds; 40 if left out.
+            optional --seconds seconds: u64
+        }
+    }
+}
--- /dev/null
+++ b/bin/load/src/command/mod.rs
@@ -0,0 +1,44 @@
+//! Subcommands, one a file.
+
+mod backend;
+mod demo;
+mod fabric;
+mod proxy;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use crate::cli::{Load, LoadCmd};
+use crate::error::LoadError;
+
+/// Longest run of a subcommand that no option bounds, in seconds.
+const MAX_SECONDS: u64 = 600;
+
+/// Runs the subcommand of a command line.
+///
+/// # Errors
+/// See [`LoadError`].
+pub fn run(flags: Load) -> Result<ExitCode, LoadError> {
+    let runtime = tokio::runtime::Runtime::new().map_err(LoadError::io("start the runtime"))?;
+    runtime.block_on(async {
+        match flags.subcommand {
+            LoadCmd::Backend(flags) => backend::run(flags).await,
+            LoadCmd::Fabric(flags) => fabric::run(flags).await,
+            LoadCmd::Proxy(flags) => proxy::run(flags).await,
+            LoadCmd::Demo(flags) => demo::run(flags).await,
+        }
+    })
+}
+
+/// Waits for a stop signal, at most `seconds`.
+async fn until_stopped(seconds: Option<u64>) -> Result<(), LoadError> {
+    let mut stop = startup::Stop::listen().map_err(|e| LoadError::io("signals")(e.source))?;
+    bounded(seconds, stop.graceful()).await;
+    Ok(())
+}
+
+/// Runs a future for at most `seconds`.
+async fn bounded<T>(seconds: Option<u64>, act: impl Future<Output = T>) -> Option<T> {
+    let limit = Duration::from_secs(seconds.unwrap_or(MAX_SECONDS));
+    tokio::time::timeout(limit, act).await.ok()
+}
--- a/bin/load/src/lib.rs
+++ b/bin/load/src/lib.rs
@@ -4,3 +4,13 @@
 //! own process; the program `load` offers them as subcommands.
 
 pub mod backend;
+pub mod caller;
+#[expect(
+    missing_docs,
+    reason = "xflags generates the types from documented options"
+)]
+pub mod cli;
+pub mod command;
+pub mod error;
+pub mod fabric;
+pub mod ledger;
