--- a/bin/load/src/command/demo.rs
+++ b/bin/load/src/command/demo.rs
@@ -100,10 +100,10 @@
         println!("run: no end within {seconds} s");
     }
     if ended.is_some() && unready == 0 && lost == 0 && clean {
-        println!("demo: ok");
+        println!("callers: ok");
         Ok(ExitCode::SUCCESS)
     } else {
-        println!("demo: failed");
+        println!("callers: failed");
         Ok(ExitCode::FAILURE)
     }
 }
