--- a/bin/agent/src/run.rs
+++ b/bin/agent/src/run.rs
@@ -123,7 +123,6 @@
     stop.graceful().await;
     info!(log, "draining"; "flows" => shared.open.load(Ordering::Relaxed));
     shared.change_standing(|standing| standing.stop());
-    shared.handler.drain();
     watcher.beat_now();
     let leave = async {
         drain(&shared, &commands, &log).await;
--- a/bin/agent/src/shared.rs
+++ b/bin/agent/src/shared.rs
@@ -115,9 +115,11 @@
         }
     }
 
-    /// Changes what is announced.
+    /// Changes what is announced, and whether requests are relayed.
     pub fn change_standing(&self, change: impl FnOnce(&mut Standing)) {
-        change(&mut lock(&self.standing));
+        let mut standing = lock(&self.standing);
+        change(&mut standing);
+        self.handler.set_draining(standing.is_leaving());
     }
 
     /// Whether new flows may be accepted.
--- a/bin/agent/src/standing.rs
+++ b/bin/agent/src/standing.rs
@@ -58,6 +58,12 @@
         self.ordered = drain;
     }
 
+    /// Whether new requests on established flows go elsewhere, too.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.stopping || self.ordered
+    }
+
     /// State to announce; `None` before the backend server was seen.
     #[must_use]
     pub fn state(&self, now: Instant) -> Option<MemberState> {
--- a/crates/requests/src/handler.rs
+++ b/crates/requests/src/handler.rs
@@ -150,7 +150,12 @@
 
     /// Relays all new requests from now on.
     pub fn drain(&self) {
-        self.shared.drain();
+        self.set_draining(true);
+    }
+
+    /// Relays all new requests, or runs them here again after a planned change.
+    pub fn set_draining(&self, draining: bool) {
+        self.shared.set_draining(draining);
     }
 
     /// Answers `/v1/claim`.
--- a/crates/requests/src/shared.rs
+++ b/crates/requests/src/shared.rs
@@ -147,8 +147,8 @@
         self.wake.notify_one();
     }
 
-    pub(crate) fn drain(&self) {
-        self.draining.store(true, Ordering::Release);
+    pub(crate) fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Release);
     }
 
     pub(crate) fn is_draining(&self) -> bool {
