--- a/bin/load/src/cli.rs
+++ b/bin/load/src/cli.rs
@@ -28,6 +28,13 @@
             /// Exit after this many seconds; 600 if left out.
             optional --seconds seconds: u64
         }
+        /// Measures the slopes of the capacity page.
+        cmd capacity {
+            /// Divides the largest sizes; 1 if left out.
+            optional --divisor divisor: usize
+            /// File for the slopes as JSON.
+            optional --json json: PathBuf
+        }
         /// Fault-injecting proxy; reads a plan as JSON from each line of standard input.
         cmd proxy {
             /// Address to listen on.
--- a/bin/load/src/command/mod.rs
+++ b/bin/load/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one a file.
 
 mod backend;
+mod capacity;
 mod demo;
 mod fabric;
 mod proxy;
@@ -22,6 +23,7 @@
     let runtime = tokio::runtime::Runtime::new().map_err(LoadError::io("start the runtime"))?;
     runtime.block_on(async {
         match flags.subcommand {
+            LoadCmd::Capacity(flags) => capacity::run(flags).await,
             LoadCmd::Backend(flags) => backend::run(flags).await,
             LoadCmd::Fabric(flags) => fabric::run(flags).await,
             LoadCmd::Proxy(flags) => proxy::run(flags).await,
--- a/bin/load/src/error.rs
+++ b/bin/load/src/error.rs
@@ -7,6 +7,9 @@
 /// What a subcommand can fail with.
 #[derive(Debug, Error)]
 pub enum LoadError {
+    /// A slope can't be measured.
+    #[error("cannot measure the capacity: {0}")]
+    Capacity(Box<str>),
     /// Settings or declarations that can't be used.
     #[error("{source}")]
     Settings {
