--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the files.
 
 use std::io;
+use std::path::Path;
 
 use thiserror::Error;
 
@@ -60,6 +61,12 @@
         /// Last index of the log.
         last: u64,
     },
+    /// Content that can't be encoded or decoded.
+    #[error("{message}; the files were written by another version of this program")]
+    Content {
+        /// What is wrong.
+        message: Box<str>,
+    },
     /// A record above the size limit.
     #[error("record {index} of {size} bytes exceeds the limit of {limit} bytes")]
     TooLarge {
@@ -71,3 +78,27 @@
         limit: usize,
     },
 }
+
+impl StorageError {
+    /// Classifies a failure of the file system.
+    pub(crate) fn io(step: &'static str, path: &Path, source: io::Error) -> Self {
+        let file = path.display().to_string().into();
+        match source.kind() {
+            io::ErrorKind::StorageFull
+            | io::ErrorKind::QuotaExceeded
+            | io::ErrorKind::FileTooLarge => Self::Full { step, file },
+            io::ErrorKind::PermissionDenied | io::ErrorKind::ReadOnlyFilesystem => {
+                Self::Denied { step, file }
+            }
+            _ => Self::Io { step, file, source },
+        }
+    }
+
+    pub(crate) fn damaged(path: &Path, offset: usize, message: impl Into<Box<str>>) -> Self {
+        Self::Damaged {
+            file: path.display().to_string().into(),
+            offset: offset as u64,
+            message: message.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/record.rs
@@ -0,0 +1,102 @@
+//! Encoding of log records.
+
+use crate::StorageError;
+
+/// Size of a record without its payload, in bytes.
+pub(crate) const HEADER: usize = 25;
+
+/// Largest payload in bytes.
+pub const MAX_RECORD: usize = 64 << 20;
+
+/// Record of the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// Kind, as the user defines it.
+    pub kind: u8,
+    /// Term.
+    pub term: u64,
+    /// Index.
+    pub index: u64,
+    /// Payload.
+    pub payload: Vec<u8>,
+}
+
+/// Appends the encoded record.
+pub(crate) fn encode(
+    (kind, term, index): (u8, u64, u64),
+    payload: &[u8],
+    out: &mut Vec<u8>,
+) -> Result<(), StorageError> {
+    let size = payload.len();
+    let Some(length) = u32::try_from(size).ok().filter(|_| size <= MAX_RECORD) else {
+        return Err(StorageError::TooLarge {
+            index,
+            size,
+            limit: MAX_RECORD,
+        });
+    };
+    let start = out.len();
+    out.extend_from_slice(&length.to_be_bytes());
+    out.extend_from_slice(&[0; 4]);
+    out.push(kind);
+    out.extend_from_slice(&term.to_be_bytes());
+    out.extend_from_slice(&index.to_be_bytes());
+    out.extend_from_slice(payload);
+    let crc = checksum(length, &out[start + 8..]);
+    out[start + 4..start + 8].copy_from_slice(&crc.to_be_bytes());
+    Ok(())
+}
+
+fn checksum(length: u32, rest: &[u8]) -> u32 {
+    crc32c::crc32c_append(crc32c::crc32c(&length.to_be_bytes()), rest)
+}
+
+/// Fields in front of a payload.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Head {
+    pub(crate) length: usize,
+    crc: u32,
+    kind: u8,
+    term: u64,
+    pub(crate) index: u64,
+}
+
+impl Head {
+    /// Reads the fields; `None` if the bytes end before.
+    pub(crate) fn read(raw: &[u8]) -> Option<Self> {
+        let (length, rest) = raw.split_first_chunk()?;
+        let (crc, rest) = rest.split_first_chunk()?;
+        let (kind, rest) = rest.split_first()?;
+        let (term, rest) = rest.split_first_chunk()?;
+        let (index, _) = rest.split_first_chunk()?;
+        Some(Self {
+            length: usize::try_from(u32::from_be_bytes(*length)).ok()?,
+            crc: u32::from_be_bytes(*crc),
+            kind: *kind,
+            term: u64::from_be_bytes(*term),
+            index: u64::from_be_bytes(*index),
+        })
+    }
+
+    /// Whether the checksum is right if the payload has `length` bytes.
+    pub(crate) fn is_valid(&self, raw: &[u8], length: usize) -> bool {
+        let body = raw.get(8..HEADER + length);
+        let length = u32::try_from(length).ok();
+        body.zip(length)
+            .is_some_and(|(body, length)| checksum(length, body) == self.crc)
+    }
+
+    /// The record, if it is complete and its checksum is right.
+    pub(crate) fn record(&self, raw: &[u8]) -> Option<Record> {
+        let payload = raw.get(HEADER..HEADER + self.length)?.to_vec();
+        let Self {
+            kind, term, index, ..
+        } = *self;
+        self.is_valid(raw, self.length).then_some(Record {
+            kind,
+            term,
+            index,
+            payload,
+        })
+    }
+}
--- /dev/null
+++ b/crates/storage/src/snapshot.rs
@@ -0,0 +1,90 @@
+//! Snapshot files.
+
+use std::path::Path;
+
+use crate::{StorageError, files};
+
+/// Prefix of the file name.
+pub(crate) const PREFIX: &str = "snapshot-";
+
+/// First bytes: magic and version.
+const MAGIC: [u8; 4] = *b"JSS1";
+
+/// Magic, crc32c u32, index u64, term u64, length of the description u32.
+const HEADER: usize = 28;
+
+/// State after a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Index of the last record that it covers.
+    pub index: u64,
+    /// Term of that record.
+    pub term: u64,
+    /// Description, as the user defines it.
+    pub head: Vec<u8>,
+    /// State.
+    pub data: Vec<u8>,
+}
+
+/// Writes a snapshot file.
+pub(crate) fn write(folder: &Path, snapshot: &Snapshot) -> Result<(), StorageError> {
+    let Snapshot {
+        index,
+        term,
+        head,
+        data,
+    } = snapshot;
+    let size = head.len();
+    let Ok(length) = u32::try_from(size) else {
+        let limit = u32::MAX as usize;
+        return Err(StorageError::TooLarge {
+            index: *index,
+            size,
+            limit,
+        });
+    };
+    let mut fields = Vec::with_capacity(HEADER - 8);
+    fields.extend_from_slice(&index.to_be_bytes());
+    fields.extend_from_slice(&term.to_be_bytes());
+    fields.extend_from_slice(&length.to_be_bytes());
+    let crc = checksum(&[&fields, head, data]).to_be_bytes();
+    let path = folder.join(format!("{PREFIX}{index:020}"));
+    files::replace(&path, &[&MAGIC, &crc, &fields, head, data])
+}
+
+/// Reads a snapshot file.
+pub(crate) fn read(path: &Path, index: u64) -> Result<Snapshot, StorageError> {
+    let damaged = |message: &str| StorageError::damaged(path, 0, message);
+    let raw = files::read(path)?.ok_or_else(|| damaged("the file is gone"))?;
+    let snapshot = decode(&raw).ok_or_else(|| damaged("wrong checksum of the snapshot"))?;
+    if snapshot.index == index {
+        Ok(snapshot)
+    } else {
+        Err(damaged("the file name does not match the index"))
+    }
+}
+
+fn decode(raw: &[u8]) -> Option<Snapshot> {
+    let rest = raw.strip_prefix(&MAGIC)?;
+    let (crc, fields) = rest.split_first_chunk()?;
+    if checksum(&[fields]) != u32::from_be_bytes(*crc) {
+        return None;
+    }
+    let (index, rest) = fields.split_first_chunk()?;
+    let (term, rest) = rest.split_first_chunk()?;
+    let (length, rest) = rest.split_first_chunk()?;
+    let length = usize::try_from(u32::from_be_bytes(*length)).ok()?;
+    let (head, data) = rest.split_at_checked(length)?;
+    Some(Snapshot {
+        index: u64::from_be_bytes(*index),
+        term: u64::from_be_bytes(*term),
+        head: head.to_vec(),
+        data: data.to_vec(),
+    })
+}
+
+fn checksum(parts: &[&[u8]]) -> u32 {
+    parts
+        .iter()
+        .fold(0, |crc, part| crc32c::crc32c_append(crc, part))
+}
--- /dev/null
+++ b/crates/storage/tests/log.rs
@@ -0,0 +1,176 @@
+//! Records, snapshots and votes across restarts.
+
+mod common;
+
+use common::{IDENTITY, SMALL, files, fill, folder, indexes, open, payload};
+use storage::{Identity, Options, Snapshot, StorageError, Store};
+
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    Snapshot {
+        index,
+        term,
+        head: b"members".to_vec(),
+        data: vec![9; 300],
+    }
+}
+
+/// Guards against records that change or vanish on a restart.
+#[test]
+fn records_survive_a_restart() {
+    let dir = folder(50);
+    let (store, contents) = open(dir.path()).expect("open");
+    assert_eq!(contents.identity, Some(IDENTITY));
+    assert_eq!(indexes(&contents), (1..=50).collect::<Vec<_>>());
+    assert!(
+        contents
+            .records
+            .iter()
+            .all(|r| r.payload == payload(r.index) && r.term == 4)
+    );
+    assert!(contents.warnings.is_empty(), "{:?}", contents.warnings);
+    assert_eq!(store.last(), 50);
+    assert!(files(dir.path(), "log-").len() > 3);
+}
+
+/// Guards against staged records that are taken for synced ones.
+#[test]
+fn staged_records_do_not_survive() {
+    let dir = folder(5);
+    let (mut store, _) = open(dir.path()).expect("open");
+    store.append((1, 4, 6), b"x").expect("append");
+    drop(store);
+    let (_, contents) = open(dir.path()).expect("open");
+    assert_eq!(indexes(&contents), [1, 2, 3, 4, 5]);
+}
+
+/// Guards against a conflicting tail that comes back after a restart, at each
+/// position: in the staged records, in the last and in an earlier segment.
+#[test]
+fn replaced_records_stay_replaced() {
+    for from in 1..=30 {
+        let dir = folder(25);
+        let (mut store, _) = open(dir.path()).expect("open");
+        for index in 26..=30 {
+            store.append((1, 4, index), b"staged").expect("append");
+        }
+        store.append((2, 5, from), b"new").expect("append");
+        store.sync().expect("sync");
+        drop(store);
+        let (_, contents) = open(dir.path()).expect("open");
+        assert_eq!(indexes(&contents), (1..=from).collect::<Vec<_>>());
+        let last = contents.records.last().expect("record");
+        assert_eq!((last.term, &last.payload[..]), (5, &b"new"[..]));
+    }
+}
+
+/// Guards against one sync per record when many wait.
+#[test]
+fn staged_records_share_a_sync() {
+    let dir = folder(0);
+    let (mut store, _) = Store::open(dir.path(), Options::default()).expect("open");
+    for index in 1..=1000 {
+        store.append((1, 1, index), b"payload").expect("append");
+    }
+    assert_eq!(store.log_bytes(), 0, "written before the sync");
+    store.sync().expect("sync");
+    assert_eq!(store.log_bytes(), 1000 * (25 + 7));
+    drop(store);
+    let (_, contents) = open(dir.path()).expect("open");
+    assert_eq!(contents.records.len(), 1000);
+}
+
+/// Guards against a log that grows for ever, and against entries that the
+/// snapshot does not cover being removed with the others.
+#[test]
+fn compaction_keeps_what_the_snapshot_lacks() {
+    let dir = folder(60);
+    let (mut store, _) = open(dir.path()).expect("open");
+    let before = store.log_bytes();
+    store.snapshot(&snapshot(30, 4)).expect("snapshot");
+    store.snapshot(&snapshot(40, 4)).expect("snapshot");
+    store.compact(40).expect("compact");
+    assert!(store.log_bytes() < before);
+    drop(store);
+    assert_eq!(files(dir.path(), "snapshot-").len(), 1);
+    let (_, contents) = open(dir.path()).expect("open");
+    assert_eq!(contents.snapshot, Some(snapshot(40, 4)));
+    let kept = indexes(&contents);
+    assert!(
+        kept[0] > 1 && kept[0] <= 41 && kept.ends_with(&[60]),
+        "{kept:?}"
+    );
+}
+
+/// Guards against an old log next to a snapshot of the leader, also when the
+/// process stops between the two steps.
+#[test]
+fn installed_snapshot_replaces_the_log() {
+    for crash in [false, true] {
+        let dir = folder(20);
+        let (mut store, _) = open(dir.path()).expect("open");
+        let leader = snapshot(10, 5);
+        if crash {
+            store.snapshot(&leader).expect("snapshot");
+        } else {
+            store.install(&leader).expect("install");
+            fill(&mut store, 11..=12, 6);
+        }
+        drop(store);
+        let (mut store, contents) = open(dir.path()).expect("open");
+        let rest: &[u64] = if crash { &[] } else { &[11, 12] };
+        assert_eq!(indexes(&contents), rest);
+        let next = store.last() + 1;
+        fill(&mut store, next..=14, 6);
+    }
+}
+
+/// Guards against a gap that only a restart would show.
+#[test]
+fn gaps_are_refused() {
+    let dir = folder(3);
+    let (mut store, _) = open(dir.path()).expect("open");
+    let error = store.append((1, 4, 5), b"").expect_err("gap");
+    assert!(
+        matches!(error, StorageError::Gap { index: 5, last: 3 }),
+        "{error}"
+    );
+}
+
+/// Guards against a vote that is lost or mixed from two writes.
+#[test]
+fn last_vote_counts() {
+    let dir = folder(1);
+    let (mut store, _) = open(dir.path()).expect("open");
+    let vote = Identity {
+        id: 3,
+        term: 9,
+        voted: 1,
+    };
+    store.save(vote).expect("save");
+    drop(store);
+    std::fs::write(dir.path().join("vote.tmp"), b"half").expect("write");
+    let (_, contents) = open(dir.path()).expect("open");
+    assert_eq!(contents.identity, Some(vote));
+    assert!(!dir.path().join("vote.tmp").exists());
+}
+
+/// Guards against two processes in one folder.
+#[test]
+fn folder_is_locked() {
+    let dir = folder(1);
+    let (store, _) = open(dir.path()).expect("open");
+    let error = open(dir.path()).expect_err("second");
+    assert!(matches!(error, StorageError::Locked { .. }), "{error}");
+    drop(store);
+    Store::open(dir.path(), SMALL).expect("open after the other stopped");
+}
+
+/// Guards against a folder that can't be used and an error that does not say which.
+#[test]
+fn unusable_folder_is_named() {
+    let dir = tempfile::tempdir().expect("folder");
+    let path = dir.path().join("file");
+    std::fs::write(&path, b"").expect("write");
+    let error = open(&path).expect_err("not a folder");
+    assert!(error.to_string().contains("file"), "{error}");
+}
