replica: run replication with files and peers

Replaces the stand-in behind the interface. One task holds the decisions, one thread the files, one the state machine; requests that arrive during a sync share the next write and message. A replica with an empty folder asks all first members whether an election took place: if so, it joins under a new id; a new group elects only after all have files.

Answering in the HTTP response was ruled out: a follower's answer waits for its disk, and would hold the connection that heartbeats need.

--- /dev/null
+++ b/crates/replica/src/core.rs
@@ -0,0 +1,448 @@
+//! Task of a replica: events in, actions out.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use replication::{Action, Change, Command, Event, Kind, Message, Payload, RoleName, State, Write};
+use slog::{Logger, crit, info};
+use tokio::sync::{mpsc, oneshot, watch};
+use units::ReplicaId;
+
+use crate::disk::{Disk, Job};
+use crate::form::FIRST_TERM;
+use crate::input::{Input, Reply, reason};
+use crate::peers::Peers;
+use crate::waiters::{Waiter, Waiters};
+use crate::wire::{Answer, Standing, Wire};
+use crate::work::{Done, Task, Worker};
+use crate::{Peer, PeerStatus, ProposeError, ReplicaSettings, ReplicaStatus, Role};
+
+/// Requests that are handled together, so that they share a write and a message.
+const BATCH: usize = 512;
+
+/// Task of a replica.
+pub(crate) struct Core {
+    pub(crate) settings: ReplicaSettings,
+    pub(crate) log: Logger,
+    pub(crate) state: State,
+    pub(crate) inputs: mpsc::Receiver<Input>,
+    pub(crate) done: mpsc::UnboundedReceiver<Done>,
+    pub(crate) disk: Disk,
+    pub(crate) worker: Worker,
+    pub(crate) peers: Peers,
+    pub(crate) status: watch::Sender<ReplicaStatus>,
+    pub(crate) progress: Progress,
+}
+
+/// What the task keeps besides the state.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    waiters: Waiters,
+    transfer: Option<Reply<()>>,
+    stop: Option<oneshot::Sender<()>>,
+    /// Messages that wait for a write.
+    held: Vec<(u64, ReplicaId, Message)>,
+    synced: u64,
+    /// Last index that was handed to the state machine, and last one applied.
+    handed: u64,
+    applied: u64,
+    /// Index of the last snapshot, and log bytes since.
+    snapshot: u64,
+    bytes: u64,
+    is_encoding: bool,
+    fault: Option<Box<str>>,
+    /// Address and last contact of senders.
+    contacts: HashMap<ReplicaId, (SocketAddr, Instant)>,
+    is_broken: bool,
+}
+
+impl Progress {
+    /// After a start from a snapshot.
+    pub(crate) fn after(snapshot: u64) -> Self {
+        let (handed, applied) = (snapshot, snapshot);
+        Self {
+            handed,
+            applied,
+            snapshot,
+            ..Self::default()
+        }
+    }
+}
+
+/// Requests that are handled together.
+#[derive(Default)]
+struct Batch {
+    commands: Vec<(u64, Command)>,
+    reads: Vec<Reply<()>>,
+}
+
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+impl Core {
+    /// Runs until the replica is stopped.
+    pub(crate) async fn run(mut self) {
+        self.update();
+        while self.progress.stop.is_none() && !self.progress.is_broken {
+            let due = self.state.deadline().into();
+            tokio::select! {
+                Some(done) = self.done.recv() => self.finish(done),
+                input = self.inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => break,
+                },
+                () = tokio::time::sleep_until(due) => {}
+            }
+            while let Ok(done) = self.done.try_recv() {
+                self.finish(done);
+            }
+            self.handle(Event::Tick);
+            self.take_snapshot();
+            self.update();
+        }
+        self.peers.retain(|_| false);
+        self.done.close();
+        self.disk.stop().await;
+        self.worker.stop().await;
+        if let Some(reply) = self.progress.stop {
+            // The caller of `stop` may have gone away.
+            let _ = reply.send(());
+        }
+    }
+
+    /// Handles a request and those that wait behind it.
+    fn take(&mut self, first: Input) {
+        let mut batch = Batch::default();
+        self.accept(first, &mut batch);
+        for _ in 1..BATCH {
+            match self.inputs.try_recv() {
+                Ok(input) => self.accept(input, &mut batch),
+                Err(_) => break,
+            }
+        }
+        if !batch.commands.is_empty() {
+            self.handle(Event::Propose(batch.commands));
+        }
+        if !batch.reads.is_empty() {
+            let token = self.progress.waiters.add_reads(batch.reads);
+            self.handle(Event::Read { token });
+        }
+    }
+
+    fn accept(&mut self, input: Input, batch: &mut Batch) {
+        match input {
+            Input::Wire(wire, reply) => self.receive(wire, reply),
+            Input::Propose(command, reply) => {
+                if let Some(error) = self.refusal(batch.commands.len()) {
+                    return drop(reply.send(Err(error)));
+                }
+                let token = self.progress.waiters.add(Waiter::Propose(reply));
+                batch.commands.push((token, command.into()));
+            }
+            Input::Confirm(reply) => batch.reads.push(reply),
+            Input::Change(change, reply) => self.change(change, Waiter::Change(reply)),
+            Input::Transfer(reply) => {
+                let waiting = self.progress.transfer.replace(reply);
+                drop(waiting);
+                self.handle(Event::Transfer { token: 0 });
+            }
+            Input::Stop(reply) => self.progress.stop = Some(reply),
+        }
+    }
+
+    /// Why no command is accepted at the moment.
+    fn refusal(&mut self, waiting: usize) -> Option<ProposeError> {
+        if self.state.role() != RoleName::Leader {
+            return Some(self.not_leader());
+        }
+        let limit = self.settings.max_pending;
+        let full = self.progress.waiters.count(limit) + waiting >= limit;
+        full.then(|| {
+            let reason = format!("{limit} commands are waiting; try again later").into();
+            ProposeError::Refused { reason }
+        })
+    }
+
+    fn not_leader(&self) -> ProposeError {
+        let leader = self.state.leader().filter(|id| *id != self.state.id());
+        match (leader, &self.progress.fault) {
+            (None, Some(fault)) => ProposeError::Refused {
+                reason: fault.clone(),
+            },
+            _ => {
+                let leader = leader.and_then(|id| self.address(id));
+                ProposeError::NotLeader { leader }
+            }
+        }
+    }
+
+    fn address(&self, id: ReplicaId) -> Option<SocketAddr> {
+        let contact = || self.progress.contacts.get(&id).map(|(address, _)| *address);
+        self.state.address(id).or_else(contact)
+    }
+
+    fn receive(&mut self, wire: Wire, reply: Option<oneshot::Sender<Answer>>) {
+        match (wire, reply) {
+            (Wire::Batch { from, to, messages }, _) => {
+                if to != self.state.id() {
+                    return;
+                }
+                self.progress
+                    .contacts
+                    .insert(from.id, (from.address, now()));
+                for message in messages {
+                    self.handle(Event::Message {
+                        from: from.id,
+                        message,
+                    });
+                }
+            }
+            (Wire::Probe, Some(reply)) => {
+                let peers = crate::form::first_members(&self.settings);
+                // A replica that joined knows of a leader even before it heard one.
+                let term = match self.state.term() {
+                    0 => FIRST_TERM + 1,
+                    term => term,
+                };
+                let standing = Standing {
+                    term,
+                    formed: true,
+                    ready: true,
+                    peers,
+                };
+                // The asker repeats the question if it has gone away.
+                let _ = reply.send(Answer::State(standing));
+            }
+            (Wire::Join { address }, Some(reply)) => {
+                let id = ReplicaId(self.state.config().next);
+                self.change(Change::Join { address }, Waiter::Join(id, reply));
+            }
+            (Wire::Probe | Wire::Join { .. }, None) => {}
+        }
+    }
+
+    fn change(&mut self, change: Change, waiter: Waiter) {
+        if self.state.role() != RoleName::Leader {
+            return waiter.fail(self.not_leader());
+        }
+        let token = self.progress.waiters.add(waiter);
+        self.handle(Event::Change { token, change });
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.state.handle(now(), event, &mut out);
+        for action in out {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Store { seq, write } => {
+                if let Write::Install(snapshot) = &write {
+                    self.progress.handed = snapshot.index;
+                    let task = Task::Restore(std::sync::Arc::clone(snapshot));
+                    self.progress.is_broken |= !self.worker.send(task);
+                }
+                self.progress.is_broken |= !self.disk.send(Job::Write { seq, write });
+            }
+            Action::Send { to, message, after } if after > self.progress.synced => {
+                self.progress.held.push((after, to, message));
+            }
+            Action::Send { to, message, .. } => self.send(to, message),
+            Action::Commit { index } => self.apply(index),
+            Action::Proposed { token, term, index } => {
+                self.progress.waiters.place(token, term, index);
+            }
+            Action::Read { token, index } => {
+                self.progress.waiters.confirm(token, index);
+                self.progress.waiters.release(self.progress.applied);
+            }
+            Action::Refused { token, cause } => {
+                let error = match cause {
+                    replication::Cause::NotLeader => self.not_leader(),
+                    _ => ProposeError::Refused {
+                        reason: reason(cause).into(),
+                    },
+                };
+                if token == 0 {
+                    self.transferred(Err(error));
+                } else {
+                    self.progress.waiters.refuse(token, &error);
+                }
+            }
+        }
+    }
+
+    fn transferred(&mut self, result: Result<(), ProposeError>) {
+        if let Some(reply) = self.progress.transfer.take() {
+            // The caller may have given up.
+            let _ = reply.send(result);
+        }
+    }
+
+    fn send(&mut self, to: ReplicaId, message: Message) {
+        if let Some(address) = self.address(to) {
+            self.peers.send(Peer { id: to, address }, message);
+        }
+    }
+
+    /// Hands committed entries to the state machine.
+    fn apply(&mut self, index: u64) {
+        let from = self.progress.handed + 1;
+        let entries: Vec<_> = (from..=index)
+            .filter_map(|i| self.state.entry(i).cloned())
+            .collect();
+        if entries
+            .iter()
+            .any(|e| matches!(e.payload, Payload::Config(_)))
+        {
+            let members = &self.state.config().members;
+            self.peers.retain(|id| members.contains_key(&id));
+            self.progress
+                .contacts
+                .retain(|id, _| members.contains_key(id));
+        }
+        self.progress.bytes += entries.iter().map(|e| e.size() as u64).sum::<u64>();
+        self.progress.handed = index;
+        self.progress.is_broken |= !self.worker.send(Task::Apply(entries));
+    }
+
+    /// Takes a snapshot when the log has grown enough.
+    fn take_snapshot(&mut self) {
+        let Progress {
+            handed,
+            snapshot,
+            bytes,
+            ..
+        } = self.progress;
+        let due = handed.saturating_sub(snapshot) >= self.settings.snapshot_entries
+            || bytes >= self.settings.snapshot_bytes;
+        if !due || self.progress.is_encoding || handed <= snapshot {
+            return;
+        }
+        if let Some((term, config)) = self.state.snapshot_head(handed) {
+            let task = Task::Snapshot {
+                index: handed,
+                term,
+                config,
+            };
+            self.progress.is_encoding = true;
+            self.progress.bytes = 0;
+            self.progress.is_broken |= !self.worker.send(task);
+        }
+    }
+
+    /// Handles the report of a thread.
+    fn finish(&mut self, done: Done) {
+        match done {
+            Done::Stored { seq } => self.stored(seq),
+            Done::Fault(fault) => {
+                let ok = fault.is_none();
+                self.progress.fault = fault;
+                self.handle(Event::Disk { ok });
+            }
+            Done::Snapshot(snapshot) => {
+                self.progress.is_encoding = false;
+                if let Some(snapshot) = snapshot {
+                    self.progress.snapshot = self.progress.snapshot.max(snapshot.index);
+                    self.handle(Event::Snapshot(snapshot));
+                }
+            }
+            Done::Applied(entries) => {
+                for entry in entries {
+                    self.progress.applied = entry.index;
+                    self.progress.waiters.applied(entry);
+                }
+                self.progress.waiters.release(self.progress.applied);
+            }
+            Done::Taken(snapshot) => {
+                let tail = self.settings.tail;
+                self.progress.is_broken |= !self.disk.send(Job::Snapshot { snapshot, tail });
+            }
+            Done::Restored { index } => {
+                self.progress.applied = index;
+                self.progress.snapshot = self.progress.snapshot.max(index);
+                self.progress.waiters.skip(index);
+                self.progress.waiters.release(index);
+            }
+            Done::Rejected { index, message } => {
+                crit!(self.log, "cannot restore a snapshot; the replica stops";
+                    "index" => index, "error" => %message);
+                self.progress.is_broken = true;
+            }
+        }
+    }
+
+    fn stored(&mut self, seq: u64) {
+        self.progress.synced = seq;
+        let ready = self
+            .progress
+            .held
+            .extract_if(.., |(after, ..)| *after <= seq);
+        for (_, to, message) in ready.collect::<Vec<_>>() {
+            self.send(to, message);
+        }
+        self.handle(Event::Stored { seq });
+    }
+
+    /// Publishes the status; observers are woken only for changes that matter to them.
+    fn update(&mut self) {
+        let status = self.current_status();
+        let role = status.role;
+        if role != Role::Leader {
+            self.transferred(Ok(()));
+        }
+        let log = &self.log;
+        self.status.send_if_modified(|old| {
+            if (old.role, old.leader) != (status.role, status.leader) {
+                info!(log, "role or leader changed"; "role" => %status.role, "term" => status.term,
+                    "leader" => status.leader.map(|l| l.0));
+            }
+            let changes = |s: &ReplicaStatus| (s.id, s.role, s.leader_address, s.applied);
+            let changed = changes(old) != changes(&status)
+                || (&old.fault, old.leader) != (&status.fault, status.leader);
+            *old = status;
+            changed
+        });
+    }
+
+    fn current_status(&self) -> ReplicaStatus {
+        let state = &self.state;
+        let known = state.peers();
+        let peer = |(id, member): (&ReplicaId, &replication::Member)| {
+            let contact = self.progress.contacts.get(id).map(|(_, at)| *at);
+            PeerStatus {
+                id: *id,
+                address: member.address,
+                voter: member.kind == Kind::Voter,
+                matched: known.iter().find(|p| p.id == *id).map_or(0, |p| p.matched),
+                contact,
+            }
+        };
+        let members = state
+            .config()
+            .members
+            .iter()
+            .filter(|(id, _)| **id != state.id());
+        ReplicaStatus {
+            id: state.id(),
+            role: match state.role() {
+                RoleName::Learner => Role::Learner,
+                RoleName::Follower => Role::Follower,
+                RoleName::Candidate => Role::Candidate,
+                RoleName::Leader => Role::Leader,
+            },
+            leader: state.leader(),
+            leader_address: state.leader().and_then(|id| self.address(id)),
+            term: state.term(),
+            commit: state.commit(),
+            applied: self.progress.applied,
+            peers: members.map(peer).collect(),
+            fault: self.progress.fault.clone(),
+        }
+    }
+}
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -1,11 +1,26 @@
 //! Handle of a running replica.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-use slog::Logger;
-use tokio::sync::watch;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use replication::{Change, Restored, State};
+use slog::{Logger, o, warn};
+use storage::{Options, Store};
+use tokio::sync::{mpsc, oneshot, watch};
+use units::ReplicaId;
 
-use crate::{Peer, ProposeError, ReplicaError, ReplicaSettings, ReplicaStatus, Role};
+use crate::core::{Core, Progress};
+use crate::disk::{self, Disk};
+use crate::form::{Forming, Start, first_members};
+use crate::input::{Input, Reply};
+use crate::peers::Peers;
+use crate::wire::{Answer, Wire};
+use crate::work::Worker;
+use crate::{Peer, ProposeError, ReplicaError, ReplicaSettings, ReplicaStatus};
+
+/// Requests that may wait for the task; callers wait for a place.
+const QUEUE: usize = 1024;
 
 /// Applies the command at an index and returns the answer to its proposer.
 pub type ApplyFn = Box<dyn FnMut(u64, &[u8]) -> Vec<u8> + Send>;
@@ -16,7 +31,7 @@
 /// Replaces the state by an encoded one.
 pub type RestoreFn = Box<dyn FnMut(&[u8]) -> Result<(), Box<str>> + Send>;
 
-/// The state machine; called from one task, in log order.
+/// The state machine; called from one thread, in log order.
 pub struct Machine {
     /// Applies a command at an index and returns the answer to its proposer.
     pub apply: ApplyFn,
@@ -32,35 +47,54 @@
     }
 }
 
-/// Handle of a running replica; cheap to clone.
+/// Handle of a running replica; cheap to clone. The replica stops when the last
+/// handle is dropped.
 #[derive(Debug, Clone)]
 pub struct Replica {
-    machine: Arc<Mutex<Machine>>,
-    status: watch::Sender<ReplicaStatus>,
+    inputs: mpsc::Sender<Input>,
+    status: watch::Receiver<ReplicaStatus>,
+    propose_limit: Duration,
+    transfer_limit: Duration,
+    max_command: usize,
 }
 
 impl Replica {
     /// Opens the files and starts the replica.
     ///
+    /// Returns before the replica takes part: a replica with an empty folder
+    /// first asks its peers, which need this one to answer them.
+    ///
     /// # Errors
     /// When the files can't be used or a setting is invalid.
     pub async fn start(
         settings: ReplicaSettings,
         machine: Machine,
-        _client: rpc::Client,
-        _log: Logger,
+        client: rpc::Client,
+        log: Logger,
     ) -> Result<Self, ReplicaError> {
-        let status = ReplicaStatus {
-            id: settings.id,
-            role: Role::Leader,
-            leader: Some(settings.id),
-            leader_address: Some(settings.address),
-            term: 1,
-            ..ReplicaStatus::default()
+        settings.check()?;
+        let (folder, segment) = (settings.folder.clone(), settings.segment_bytes);
+        let opened = tokio::task::spawn_blocking(move || open(&folder, segment, machine));
+        let opened = opened.await.map_err(|_| ReplicaError::Stopped)??;
+        for warning in &opened.warnings {
+            warn!(log, "repaired a file"; "detail" => warning.as_ref());
+        }
+        let id = opened.restored.as_ref().map_or(settings.id, |(id, _)| *id);
+        let (sender, inputs) = mpsc::channel(QUEUE);
+        let (status, receiver) = watch::channel(ReplicaStatus {
+            id,
+            ..Default::default()
+        });
+        let replica = Self {
+            inputs: sender,
+            status: receiver,
+            propose_limit: settings.propose_limit,
+            transfer_limit: settings.election.1 * 2,
+            max_command: settings.max_command,
         };
-        let machine = Arc::new(Mutex::new(machine));
-        let (status, _) = watch::channel(status);
-        Ok(Self { machine, status })
+        let log = log.new(o!("replica" => id.0));
+        tokio::spawn(run(settings, opened, client, log, inputs, status));
+        Ok(replica)
     }
 
     /// Commits a command and returns the state machine's answer.
@@ -68,12 +102,13 @@
     /// # Errors
     /// See [`ProposeError`]; only `Unknown` leaves the outcome open.
     pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>, ProposeError> {
-        let mut machine = self.machine.lock().unwrap_or_else(PoisonError::into_inner);
-        let index = self.status.borrow().applied + 1;
-        let answer = (machine.apply)(index, &command);
-        self.status
-            .send_modify(|s| (s.commit, s.applied) = (index, index));
-        Ok(answer)
+        let (size, limit) = (command.len(), self.max_command);
+        if size > limit {
+            let reason = format!("the command of {size} bytes exceeds {limit} bytes").into();
+            return Err(ProposeError::Refused { reason });
+        }
+        self.ask(self.propose_limit, |reply| Input::Propose(command, reply))
+            .await
     }
 
     /// Confirms with a quorum that this replica leads; state read afterwards is current.
@@ -81,15 +116,36 @@
     /// # Errors
     /// When this replica does not lead or reaches no quorum.
     pub async fn confirm(&self) -> Result<(), ProposeError> {
-        Ok(())
+        self.ask(self.propose_limit, Input::Confirm).await
     }
 
     /// Handles the body of a request to `/v1/replicate`.
     ///
     /// # Errors
     /// When the body can't be decoded or the replica is busy or stopped.
-    pub async fn handle(&self, _message: &[u8]) -> Result<Vec<u8>, ReplicaError> {
-        Ok(Vec::new())
+    pub async fn handle(&self, message: &[u8]) -> Result<Vec<u8>, ReplicaError> {
+        let wire: Wire = replication::decode("message", message).map_err(invalid)?;
+        let answer = if matches!(wire, Wire::Batch { .. }) {
+            self.inputs
+                .try_send(Input::Wire(wire, None))
+                .map_err(|e| match e {
+                    mpsc::error::TrySendError::Full(_) => ReplicaError::Busy,
+                    mpsc::error::TrySendError::Closed(_) => ReplicaError::Stopped,
+                })?;
+            Answer::Taken
+        } else {
+            let (reply, answer) = oneshot::channel();
+            let input = Input::Wire(wire, Some(reply));
+            self.inputs
+                .send(input)
+                .await
+                .map_err(|_| ReplicaError::Stopped)?;
+            match tokio::time::timeout(self.propose_limit, answer).await {
+                Ok(answer) => answer.map_err(|_| ReplicaError::Stopped)?,
+                Err(_) => Answer::Later,
+            }
+        };
+        replication::encode("answer", &answer).map_err(invalid)
     }
 
     /// State of the replica.
@@ -101,31 +157,32 @@
     /// Changes of role, leader and applied index.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<ReplicaStatus> {
-        self.status.subscribe()
+        self.status.clone()
     }
 
-    /// Adds a replica that receives the log but does not vote.
+    /// Adds a replica that receives the log but does not vote; its id must be new.
     ///
     /// # Errors
     /// See [`ProposeError`].
-    pub async fn add_learner(&self, _peer: Peer) -> Result<(), ProposeError> {
-        Ok(())
+    pub async fn add_learner(&self, peer: Peer) -> Result<(), ProposeError> {
+        let Peer { id, address } = peer;
+        self.change(Change::Learner { id, address }).await
     }
 
     /// Makes a learner that has caught up a voter.
     ///
     /// # Errors
     /// See [`ProposeError`]; refused while the learner lags.
-    pub async fn promote(&self, _peer: Peer) -> Result<(), ProposeError> {
-        Ok(())
+    pub async fn promote(&self, peer: Peer) -> Result<(), ProposeError> {
+        self.change(Change::Promote(peer.id)).await
     }
 
     /// Removes a voter or learner.
     ///
     /// # Errors
     /// See [`ProposeError`].
-    pub async fn remove(&self, _peer: Peer) -> Result<(), ProposeError> {
-        Ok(())
+    pub async fn remove(&self, peer: Peer) -> Result<(), ProposeError> {
+        self.change(Change::Remove(peer.id)).await
     }
 
     /// Hands leadership to the follower that is furthest ahead.
@@ -133,9 +190,141 @@
     /// # Errors
     /// When this replica does not lead or no follower took over in time.
     pub async fn transfer(&self) -> Result<(), ProposeError> {
-        Ok(())
+        self.ask(self.transfer_limit, Input::Transfer).await
     }
 
     /// Stops the replica; waits until its files are closed.
-    pub async fn stop(&self) {}
+    pub async fn stop(&self) {
+        let (reply, stopped) = oneshot::channel();
+        if self.inputs.send(Input::Stop(reply)).await.is_ok() {
+            // An error means that the replica has stopped already.
+            let _ = stopped.await;
+        }
+    }
+
+    async fn change(&self, change: Change) -> Result<(), ProposeError> {
+        self.ask(self.propose_limit, |reply| Input::Change(change, reply))
+            .await
+    }
+
+    /// Sends a request to the task and waits for its outcome.
+    async fn ask<T>(
+        &self,
+        limit: Duration,
+        input: impl FnOnce(Reply<T>) -> Input,
+    ) -> Result<T, ProposeError> {
+        let (reply, outcome) = oneshot::channel();
+        let unknown = |reason: &str| ProposeError::Unknown {
+            reason: reason.into(),
+        };
+        let request = async {
+            if self.inputs.send(input(reply)).await.is_err() {
+                let reason = "the replica has stopped".into();
+                return Err(ProposeError::Refused { reason });
+            }
+            outcome
+                .await
+                .unwrap_or_else(|_| Err(unknown("the replica stopped")))
+        };
+        match tokio::time::timeout(limit, request).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(unknown(&format!(
+                "no outcome within {} ms",
+                limit.as_millis()
+            ))),
+        }
+    }
+}
+
+fn invalid(error: replication::CodecError) -> ReplicaError {
+    let message = error.to_string().into();
+    ReplicaError::Message { message }
+}
+
+/// Files and state machine after a start.
+struct Opened {
+    store: Store,
+    machine: Machine,
+    restored: Option<(ReplicaId, Restored)>,
+    warnings: Vec<Box<str>>,
+}
+
+fn open(
+    folder: &std::path::Path,
+    segment: u64,
+    mut machine: Machine,
+) -> Result<Opened, ReplicaError> {
+    let (store, mut contents) = Store::open(folder, Options { segment })?;
+    let warnings = std::mem::take(&mut contents.warnings);
+    let restored = disk::restore(contents)?;
+    if let Some(snapshot) = restored.as_ref().and_then(|(_, r)| r.snapshot.as_ref()) {
+        let index = snapshot.index;
+        (machine.restore)(&snapshot.data.0)
+            .map_err(|message| ReplicaError::Restore { index, message })?;
+    }
+    Ok(Opened {
+        store,
+        machine,
+        restored,
+        warnings,
+    })
+}
+
+/// Forms or joins the group if necessary, then takes part until stopped.
+async fn run(
+    settings: ReplicaSettings,
+    opened: Opened,
+    client: rpc::Client,
+    log: Logger,
+    mut inputs: mpsc::Receiver<Input>,
+    status: watch::Sender<ReplicaStatus>,
+) {
+    let Opened {
+        mut store,
+        machine,
+        restored,
+        ..
+    } = opened;
+    let forming = Forming {
+        settings: &settings,
+        client: &client,
+        log: &log,
+        inputs: &mut inputs,
+        store: &mut store,
+        peers: first_members(&settings),
+    };
+    let (id, restored) = match forming.run(restored).await {
+        Start::Run(id, restored) => (id, restored),
+        Start::Stop(reply) => {
+            drop(store);
+            // The caller of `stop` may have gone away.
+            let _ = reply.send(());
+            return;
+        }
+        Start::Dropped => return,
+    };
+    let snapshot = restored.snapshot.as_ref().map_or(0, |s| s.index);
+    let rng = settings
+        .seed
+        .map_or_else(rand::make_rng, StdRng::seed_from_u64);
+    let now = tokio::time::Instant::now().into_std();
+    let state = State::new(settings.decisions(id), restored, rng, now);
+    let (report, done) = mpsc::unbounded_channel();
+    let own = Peer {
+        id,
+        address: settings.address,
+    };
+    let core = Core {
+        state,
+        inputs,
+        done,
+        disk: Disk::start(store, id, report.clone(), log.clone()),
+        worker: Worker::start(machine, report),
+        peers: Peers::new(own, client, log.clone()),
+        status,
+        progress: Progress::after(snapshot),
+        settings,
+        log,
+    };
+    core.run().await;
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -4,21 +4,33 @@
 //! each message to [`Replica::handle`]. The server must accept request bodies
 //! of [`MAX_BODY`] bytes:
 //!
-//! ```ignore
+//! ```text
 //! let request = rpc::Request::<replica::Body>::open(&key, api::path::REPLICATE, &body)?;
 //! let answer = replica.handle(&request.message.0).await?;
 //! request.reply(&key, &replica::Body(answer))
 //! ```
 //!
-//! The address must accept requests before [`Replica::start`] returns: a replica
-//! with an empty folder first asks its peers whether the group already exists.
-//! Requests that arrive earlier may be answered with any error status.
+//! [`Replica::start`] returns before the replica takes part, so that the server
+//! can be started with it: a replica with an empty folder first asks its peers
+//! whether the group already exists (module `form`). If it does, the disk was
+//! lost, and the replica joins as a learner under a new id.
+//!
+//! One task holds the decisions, one thread the files, one the state machine.
+//! Requests that arrive while a write is synced share the next write.
 
 mod body;
+mod core;
+mod disk;
 mod error;
+mod form;
 mod handle;
+mod input;
+mod peers;
 mod settings;
 mod status;
+mod waiters;
+mod wire;
+mod work;
 
 pub use body::{Body, MAX_BODY};
 pub use error::{ProposeError, ReplicaError};
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -7,6 +7,11 @@
 use serde::{Deserialize, Serialize};
 use units::ReplicaId;
 
+use crate::ReplicaError;
+
+/// Largest command in bytes; a message with one must fit into a request body.
+const MAX_COMMAND: usize = 4 << 20;
+
 /// A replica and where it is reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
@@ -76,3 +81,46 @@
         }
     }
 }
+
+impl ReplicaSettings {
+    /// Checks the values.
+    pub(crate) fn check(&self) -> Result<(), ReplicaError> {
+        let invalid = |name, message: &str| {
+            let message = message.into();
+            Err(ReplicaError::Setting { name, message })
+        };
+        if self.id.0 == 0 {
+            return invalid("id", "must be at least 1");
+        }
+        if self.max_command > MAX_COMMAND {
+            return invalid("max_command", "must be at most 4 MiB");
+        }
+        if self.election.0 > self.election.1 || self.heartbeat * 2 > self.election.0 {
+            let message = "the shortest must be at least two heartbeats and at most the longest";
+            return invalid("election", message);
+        }
+        let address = |p: &Peer| p.address == self.address;
+        if self.peers.iter().any(|p| address(p) != (p.id == self.id)) {
+            return invalid(
+                "peers",
+                "the own address and the own id must belong together",
+            );
+        }
+        if self.join && self.peers.iter().all(address) {
+            return invalid("peers", "must name a replica of the group to join");
+        }
+        Ok(())
+    }
+
+    /// Settings of the decisions.
+    pub(crate) fn decisions(&self, id: ReplicaId) -> replication::Settings {
+        replication::Settings {
+            id,
+            election: self.election,
+            heartbeat: self.heartbeat,
+            resend: self.heartbeat * 4,
+            tail: self.tail,
+            ..replication::Settings::default()
+        }
+    }
+}
