Test burn and state; compute burn rates in hundredths

They found that an objective of 99% missed its threshold at exactly 1, because 1 - 0.99 is not 0.01; the rate now uses hundredths. The list of retired services went: a node names the tables that it holds, so control sees which of them no longer exist whatever the lag. A bounded list was ruled out, it forgets.

--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -2,7 +2,7 @@
 
 use api::{BurnWindow, Counts, ObjectiveReport, ServiceReport};
 use profile::{Objective, Profile};
-use units::{HostName, Incarnation, Millis, ServiceId, ServiceName};
+use units::{HostName, Incarnation, Millis, Percent, ServiceId, ServiceName};
 
 use crate::Ledger;
 
@@ -74,7 +74,7 @@
             BurnWindow {
                 window_ms,
                 counts,
-                rate: rate(&counts, objective.share.fraction()),
+                rate: rate(&counts, objective.share),
             }
         })
         .collect();
@@ -95,13 +95,14 @@
 }
 
 /// Share of bad requests over the share allowed; `None` without requests.
-fn rate(counts: &Counts, share: f64) -> Option<f64> {
-    let all = counts.good + counts.bad;
-    let allowed = 1.0 - share;
+fn rate(counts: &Counts, share: Percent) -> Option<f64> {
+    let all = counts.good.saturating_add(counts.bad);
+    // In hundredths, because 1 - 0.99 is not exactly 0.01 and would miss a threshold.
+    let allowed = 100.0 - share.value();
     #[expect(
         clippy::cast_precision_loss,
         reason = "counts of three days are far below 2^52"
     )]
-    let bad = counts.bad as f64 / all as f64;
-    (all > 0 && allowed > 0.0).then(|| bad / allowed)
+    let (bad, all) = (counts.bad as f64, all as f64);
+    (all > 0.0 && allowed > 0.0).then(|| 100.0 * bad / (all * allowed))
 }
--- a/crates/state/src/declare.rs
+++ b/crates/state/src/declare.rs
@@ -12,14 +12,11 @@
 pub const MAX_PROFILES: usize = 1_024;
 
 /// Most services; the design size has 2,100.
-pub const MAX_SERVICES: usize = 16_384;
+pub const MAX_SERVICES: usize = 4_096;
 
 /// Longest author in bytes.
 const MAX_AUTHOR: usize = 128;
 
-/// Services that were retired last, for nodes that never held their table.
-const MAX_RETIRED: usize = 1_024;
-
 /// Service numbers per region; a service id has 24 bits below its region.
 const MAX_NUMBER: u32 = (1 << 24) - 1;
 
@@ -235,10 +232,6 @@
         self.keys.remove(&id);
         self.burn.forget(id);
         self.config = self.config.next();
-        self.retired.push_back((self.config, id));
-        while self.retired.len() > MAX_RETIRED {
-            self.retired.pop_front();
-        }
         None
     }
 
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -1,6 +1,6 @@
 //! The state and how commands change it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use api::{Announce, AuditEntry, AuditEvent, BurnBatch, KeyMember, KeySet, Table};
 use burn::Ledger;
@@ -35,7 +35,6 @@
     pub(crate) profiles: BTreeMap<ProfileName, ProfileEntry>,
     pub(crate) services: BTreeMap<ServiceName, ServiceEntry>,
     pub(crate) last_service: u32,
-    pub(crate) retired: VecDeque<(Version, ServiceId)>,
     pub(crate) tables: BTreeMap<ServiceId, TableLog>,
     pub(crate) keys: BTreeMap<ServiceId, KeyLog>,
     pub(crate) horizon: Millis,
--- a/crates/state/src/watch.rs
+++ b/crates/state/src/watch.rs
@@ -37,7 +37,7 @@
                 reply.keys.push((entry.id, first, sets));
             }
         }
-        reply.retired = self.retired_since(watch);
+        reply.retired = self.retired(watch);
         let changed = reply.config > watch.config
             || !reply.services.is_empty()
             || !reply.retired.is_empty()
@@ -67,17 +67,11 @@
         })
     }
 
-    /// Services retired since the held version, and held ones that no longer
-    /// exist however long ago they were retired.
-    fn retired_since(&self, watch: &Watch) -> Vec<ServiceId> {
+    /// Held services that no longer exist, however long ago they were retired.
+    /// A service has a table from its first version on, so every node that
+    /// knows a service holds its table.
+    fn retired(&self, watch: &Watch) -> Vec<ServiceId> {
         let held = watch.held.iter().map(|held| held.service);
-        let mut gone: Vec<_> = held.filter(|id| !self.tables.contains_key(id)).collect();
-        let newer = self.retired.iter().filter(|(v, _)| *v > watch.config);
-        if watch.config > Version(0) {
-            gone.extend(newer.map(|(_, id)| *id));
-        }
-        gone.sort();
-        gone.dedup();
-        gone
+        held.filter(|id| !self.tables.contains_key(id)).collect()
     }
 }
--- /dev/null
+++ b/crates/state/tests/all/declare.rs
@@ -0,0 +1,156 @@
+//! Declarations: versions, conflicts, checks and limits.
+
+use crate::common::{Log, profile, service, version};
+use api::Conflict;
+use profile::Declaration;
+use state::{MAX_PROFILES, MAX_SERVICES, Outcome, Refusal};
+use units::{ServiceId, Version};
+
+fn refusal(outcome: Outcome) -> (&'static str, Box<str>) {
+    match outcome {
+        Outcome::Refused(Refusal::Invalid(m)) => ("invalid", m),
+        Outcome::Refused(Refusal::Unknown(m)) => ("unknown", m),
+        Outcome::Refused(Refusal::Full(m)) => ("full", m),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a second operator with the same expected version who
+/// overwrites the first one's change.
+#[test]
+fn equal_versions_conflict() {
+    let mut log = Log::with_service();
+    assert_eq!(version(&log.put(1, profile("p", 10))), 3);
+    for expected in [0, 1, 2, 4] {
+        let conflict = Outcome::Conflict(Conflict {
+            expected: Version(expected),
+            current: Version(3),
+            author: "ann".into(),
+        });
+        assert_eq!(log.put(expected, profile("p", 20)), conflict);
+        assert_eq!(log.retire("profile", "p", expected), conflict);
+    }
+    let stored = log.state.stored("profile", "p").unwrap();
+    assert_eq!(
+        (stored.version, stored.body),
+        (Version(3), profile("p", 10))
+    );
+    assert_eq!(log.state.config(), Version(3));
+}
+
+/// Guards against an operator who brings back a declaration that another one
+/// retired, without seeing it.
+#[test]
+fn retired_declarations_conflict() {
+    let mut log = Log::with_service();
+    assert_eq!(version(&log.retire("service", "s", 2)), 3);
+    assert_eq!(
+        log.put(2, service("s", "p", 1)),
+        Outcome::Conflict(Conflict {
+            expected: Version(2),
+            current: Version(0),
+            author: "ben".into(),
+        })
+    );
+    assert_eq!(refusal(log.retire("service", "s", 0)).0, "unknown");
+}
+
+/// Guards against traffic of an old service that reaches a new one of the same name.
+#[test]
+fn service_ids_are_never_reused() {
+    let mut log = Log::with_service();
+    let first = log.id("s");
+    log.retire("service", "s", 2);
+    log.put(0, service("s", "p", 1));
+    let second = log.id("s");
+    assert_ne!(first, second);
+    let raw = log.state.snapshot();
+    log.state.restore(&raw).unwrap();
+    log.put(0, service("s2", "p", 2));
+    assert_eq!(log.id("s2"), ServiceId(second.0 + 1));
+}
+
+/// Guards against a declaration that contradicts what was accepted before.
+#[test]
+fn contradictions_are_refused() {
+    let mut other_tenant = service("s", "p", 1);
+    let mut other_region = service("s", "p", 1);
+    if let (Declaration::Service(a), Declaration::Service(b)) =
+        (&mut other_tenant, &mut other_region)
+    {
+        a.tenant = "rival".parse().unwrap();
+        b.region = 1.into();
+    }
+    let cases = [
+        (0, service("s2", "q", 2), "profile q does not exist"),
+        (
+            0,
+            service("s2", "p", 1),
+            "is the address of service s already",
+        ),
+        (2, service("s", "p", 9), "its address can't change"),
+        (2, other_tenant, "its tenant can't change"),
+        (2, other_region, "its region can't change"),
+        (
+            1,
+            profile("p", 3_600_001),
+            "warmup_ms: 3600001 is out of range",
+        ),
+        (0, service("s2", "p", 0), ""),
+    ];
+    for (expected, body, message) in cases {
+        let mut log = Log::with_service();
+        if message.is_empty() {
+            assert_eq!(version(&log.put(expected, body)), 3);
+            continue;
+        }
+        let (kind, found) = refusal(log.put(expected, body));
+        assert_eq!(kind, "invalid");
+        assert!(found.contains(message), "{found}");
+        assert_eq!(log.state.config(), Version(2));
+    }
+}
+
+/// Guards against a service left without its profile, and against flows broken
+/// by retiring a service that still has backend servers.
+#[test]
+fn things_in_use_are_not_retired() {
+    let mut log = Log::with_service();
+    let (_, message) = refusal(log.retire("profile", "p", 1));
+    assert!(message.contains("in use by service s"), "{message}");
+    log.members(
+        &[crate::common::member("a", 1, api::MemberState::Draining)],
+        &[],
+    );
+    let (_, message) = refusal(log.retire("service", "s", 2));
+    assert!(message.contains("has 1 backend servers"), "{message}");
+    log.members(&[], &[("a", 1)]);
+    assert_eq!(version(&log.retire("service", "s", 2)), 3);
+    assert_eq!(version(&log.retire("profile", "p", 1)), 4);
+}
+
+/// Guards against memory that grows without a stated limit.
+#[test]
+fn limits_hold_just_above() {
+    let mut log = Log::new();
+    for number in 0..MAX_PROFILES {
+        version(&log.put(0, profile(&format!("p{number}"), 0)));
+    }
+    assert_eq!(refusal(log.put(0, profile("one-more", 0))).0, "full");
+    assert_eq!(
+        version(&log.put(1, profile("p0", 5))),
+        1 + MAX_PROFILES as u64
+    );
+
+    let numbered = |number: usize| {
+        let mut body = service(&format!("s{number}"), "p0", 0);
+        if let Declaration::Service(s) = &mut body {
+            s.address.set_port(u16::try_from(number + 1).unwrap());
+        }
+        body
+    };
+    for number in 0..MAX_SERVICES {
+        version(&log.put(0, numbered(number)));
+    }
+    assert_eq!(refusal(log.put(0, numbered(MAX_SERVICES))).0, "full");
+}
--- /dev/null
+++ b/crates/state/tests/all/tables.rs
@@ -0,0 +1,239 @@
+//! Tables, key sets, the horizon and the long poll.
+
+use crate::common::{Log, NOW, member, profile, service};
+use api::{Held, KeyMember, MemberState, Scope, Table, TableUpdate, Watch, WatchReply};
+use state::{Action, MAX_HISTORY, MAX_MEMBERS, MAX_SETS};
+use units::{Epoch, Incarnation, Millis, Version};
+
+fn watch(log: &Log, config: u64, epoch: u64, key_sets: u64) -> Watch {
+    Watch {
+        host: "n".parse().unwrap(),
+        scope: Scope::Service("s".parse().unwrap()),
+        config: Version(config),
+        horizon: log.state.horizon(),
+        held: vec![Held {
+            service: log.id("s"),
+            epoch: Epoch(epoch),
+            key_sets,
+        }],
+        wait_ms: Millis(0),
+    }
+}
+
+fn newer(log: &Log, config: u64, epoch: u64, key_sets: u64) -> Option<WatchReply> {
+    log.state.newer(&watch(log, config, epoch, key_sets))
+}
+
+/// Guards against a node that misses hundreds of changes and ends with another
+/// table, and against deltas from beyond the kept history.
+#[test]
+fn every_lag_leads_to_the_same_table() {
+    let mut log = Log::with_service();
+    let mut held: Vec<Table> = vec![log.state.table(log.id("s")).unwrap().clone()];
+    for round in 0..(MAX_HISTORY as u64 + 50) {
+        let host = format!("h{}", round % 40);
+        let state = [MemberState::Warming, MemberState::Serving][(round / 40) as usize % 2];
+        if round >= 40 && round % 7 != 3 {
+            log.members(&[], &[(&host, round - 40)]);
+        }
+        log.members(&[member(&host, round, state)], &[]);
+        held.push(log.state.table(log.id("s")).unwrap().clone());
+    }
+    let last = held.last().unwrap().clone();
+    let mut kinds = [0, 0];
+    for mut table in held {
+        let Some(reply) = newer(&log, 2, table.epoch.0, 0) else {
+            assert_eq!(table, last);
+            continue;
+        };
+        let behind = last.epoch.0 - table.epoch.0;
+        let update = &reply.tables[0];
+        let delta = matches!(update, TableUpdate::Delta(_));
+        assert!(!delta || behind <= MAX_HISTORY as u64);
+        kinds[usize::from(delta)] += 1;
+        assert!(table.apply(update));
+        assert_eq!(table, last);
+    }
+    assert!(kinds[0] > 0 && kinds[1] > 0, "{kinds:?}");
+}
+
+/// Guards against a delta that starts after the epoch that the node holds.
+#[test]
+fn a_delta_never_skips_a_change() {
+    let mut log = Log::with_service();
+    let states = [MemberState::Warming, MemberState::Serving];
+    log.members(&["a", "b", "c"].map(|host| member(host, 1, states[0])), &[]);
+    for round in 0..MAX_HISTORY {
+        let reply = newer(&log, 2, 1, 0).unwrap();
+        let mut table = Table {
+            epoch: Epoch(1),
+            members: Vec::new(),
+            ..log.state.table(log.id("s")).unwrap().clone()
+        };
+        assert!(table.apply(&reply.tables[0]));
+        assert_eq!(table.members.len(), 3, "{round}");
+        let delta = matches!(
+            newer(&log, 2, 2, 0).unwrap_or_default().tables[..],
+            [TableUpdate::Delta(_)]
+        );
+        assert!(delta || round == 0);
+        log.members(&[member("a", 1, states[(round + 1) % 2])], &[]);
+    }
+    let delta = |epoch| {
+        matches!(
+            newer(&log, 2, epoch, 0).unwrap().tables[..],
+            [TableUpdate::Delta(_)]
+        )
+    };
+    assert!(delta(2) && !delta(1));
+}
+
+/// Guards against a late start of an old process, and a table beyond its limit.
+#[test]
+fn tables_refuse_old_incarnations_and_too_many_members() {
+    let mut log = Log::with_service();
+    log.members(&[member("a", 5, MemberState::Serving)], &[]);
+    log.members(&[], &[("a", 5)]);
+    let epoch = log.state.table(log.id("s")).unwrap().epoch;
+    log.members(&[member("a", 4, MemberState::Serving)], &[("b", 1)]);
+    assert_eq!(log.state.table(log.id("s")).unwrap().epoch, epoch);
+    let many: Vec<_> = (0..=MAX_MEMBERS)
+        .map(|n| member(&format!("m{n}"), 1, MemberState::Serving))
+        .collect();
+    log.members(&many, &[]);
+    assert_eq!(
+        log.state.table(log.id("s")).unwrap().members.len(),
+        MAX_MEMBERS
+    );
+}
+
+/// Guards against a replica that is behind and takes a newer configuration or table back.
+#[test]
+fn nothing_older_is_sent() {
+    let mut log = Log::with_service();
+    log.members(&[member("a", 5, MemberState::Serving)], &[]);
+    assert_eq!(newer(&log, 3, 1, 0), None);
+    assert_eq!(newer(&log, 2, 2, 0), None);
+    assert_eq!(newer(&log, 2, 3, 0), None);
+    let reply = newer(&log, 2, 1, 0).unwrap();
+    assert_eq!((reply.config, reply.tables.len()), (Version(2), 1));
+}
+
+/// Guards against a node that keeps a service after it was retired, however
+/// many changes it missed, or misses a profile of a service that it comes to.
+#[test]
+fn changes_reach_nodes_of_any_lag() {
+    let mut log = Log::with_service();
+    let asked = watch(&log, 2, 1, 0);
+    let id = log.id("s");
+    log.put(1, profile("p", 7));
+    let reply = log.state.newer(&asked).unwrap();
+    assert_eq!(reply.services[0].version, Version(3));
+    assert_eq!(reply.services[0].profile.warmup_ms, Millis(7));
+    log.retire("service", "s", 2);
+    for number in 0..1_100 {
+        log.put(4 * u64::from(number > 0) + number, profile("q", number));
+        let retired = log.state.newer(&asked).unwrap().retired;
+        assert_eq!(retired, [id]);
+    }
+    log.put(0, service("s", "p", 1));
+    let reply = log.state.newer(&asked).unwrap();
+    assert_eq!((reply.services.len(), reply.tables.len()), (1, 1));
+    assert_eq!(reply.retired, [id]);
+}
+
+fn key_member(host: &str) -> KeyMember {
+    KeyMember {
+        host: host.parse().unwrap(),
+        incarnation: Incarnation(1),
+        http: "127.0.0.1:1".parse().unwrap(),
+    }
+}
+
+/// Guards against two key sets for one key: a set that starts before the
+/// horizon could differ from the one under which the key was granted.
+#[test]
+fn key_sets_start_after_the_horizon() {
+    let mut log = Log::with_service();
+    let service = log.id("s");
+    let mut starts = Vec::new();
+    // (members, horizon before the command)
+    let cases = [
+        (vec!["a"], 10_000),
+        (vec!["a", "b"], 20_000),
+        (vec!["a", "b", "c"], 30_000),
+        (vec!["a", "b", "c"], 30_000),
+        (vec!["a", "c"], 30_000),
+        (vec!["b", "c"], 40_000),
+    ];
+    for (hosts, horizon) in cases {
+        log.run(Action::Horizon(Millis(NOW.0 + horizon)));
+        let members = hosts.into_iter().map(key_member).collect();
+        log.run(Action::KeySet { service, members });
+        let start = log.state.key_set_of(service).unwrap().start;
+        starts.push(start.since(NOW).0);
+    }
+    // A set of one agent grants nothing, so its place is taken at once.
+    assert_eq!(starts, [0, 0, 30_001, 30_001, 30_002, 40_001]);
+    log.run(Action::Horizon(Millis(5)));
+    assert_eq!(log.state.horizon(), Millis(NOW.0 + 40_000));
+    let (_, first, sets) = newer(&log, 2, 1, 2).unwrap().keys.remove(0);
+    assert_eq!((first, sets.len()), (2, 3));
+    assert_eq!(newer(&log, 2, 1, 5), None);
+}
+
+/// Guards against key sets that pile up, or go while keys of them are still remembered.
+#[test]
+fn old_key_sets_are_forgotten() {
+    let mut log = Log::with_service();
+    let service = log.id("s");
+    let base = NOW.0;
+    for round in 0..200_u64 {
+        log.now = Millis(base + round * 10_000);
+        log.run(Action::Horizon(Millis(log.now.0 + 30_000)));
+        let members = vec![key_member(&format!("h{round}")), key_member("z")];
+        log.run(Action::KeySet { service, members });
+    }
+    let (_, first, sets) = newer(&log, 2, 1, 0).unwrap().keys.remove(0);
+    assert_eq!(first + sets.len() as u64, 200);
+    let window = log.now.0 - 660_000;
+    assert!(sets[0].start.0 <= window && sets[1].start.0 > window);
+    assert!(sets.len() < 100, "{}", sets.len());
+    for round in 0..=MAX_SETS as u64 {
+        let members = vec![key_member(&format!("g{round}")), key_member("z")];
+        log.run(Action::KeySet { service, members });
+    }
+    assert_eq!(newer(&log, 2, 1, 0).unwrap().keys[0].2.len(), MAX_SETS);
+}
+
+/// Guards against audit entries of changes that are pushed out by restarts of members.
+#[test]
+fn the_audit_record_is_bounded() {
+    let mut log = Log::with_service();
+    for round in 1..=(state::MAX_EVENTS as u64 + 1) {
+        log.members(
+            &[member(
+                "a",
+                1,
+                [MemberState::Serving, MemberState::Draining][round as usize % 2],
+            )],
+            &[],
+        );
+    }
+    assert_eq!(log.state.audit().len(), state::MAX_EVENTS + 2);
+    assert_eq!(log.state.report(NOW).audit.len(), 2);
+    log.run(Action::InForce {
+        version: Version(2),
+        nodes: 3,
+        missing: Vec::new(),
+    });
+    for stale in [1, 2, 3] {
+        log.run(Action::InForce {
+            version: Version(stale),
+            nodes: 1,
+            missing: Vec::new(),
+        });
+    }
+    assert_eq!(log.state.in_force(), Version(2));
+    assert_eq!(log.state.report(NOW).audit.len(), 3);
+}
