--- a/crates/burn/tests/report.rs
+++ b/crates/burn/tests/report.rs
@@ -1,6 +1,6 @@
 //! Counting, windows and the report.
 
-#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+#![expect(clippy::unwrap_used, reason = "helpers of tests panic like tests")]
 
 use api::{Bucket, BurnBatch, Counts};
 use burn::{Expected, Ledger, MAX_AGENTS, MAX_BUCKETS, service_report};
