Poll with one log index instead of a version per service

Cause: an idle poll named the epoch of each service watched: 32.7 bytes per service, that is about 12 KB every 2 s for the 350 services of a region, where 3 KB/s is the limit (load capacity). A larger region would have needed another message later. Change: a node sends the log index that its view reflects; control finds what changed since in the histories, which now carry log indexes. A node behind the listed retirements gets everything anew. Ruled out: a digest of all versions, which costs a full list after each change.

--- a/bin/control/src/http/process.rs
+++ b/bin/control/src/http/process.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use api::{BurnBatch, BurnReply, Heartbeat, Watch, WatchReply, path};
+use api::{BurnBatch, BurnReply, Heartbeat, Watch, path};
 use dropshot::{RequestContext, UntypedBody, endpoint};
 use http::StatusCode;
 use membership::{Action, Event, Refused};
@@ -70,11 +70,10 @@
             return failure(StatusCode::SERVICE_UNAVAILABLE, message);
         }
         if !matches!(timeout_at(deadline, changes.changed()).await, Ok(Ok(()))) {
-            let reply = WatchReply {
-                config: message.config,
-                horizon: message.horizon,
-                ..WatchReply::default()
-            };
+            // One lock for both: a change between them would be skipped by the index.
+            let state = node.state();
+            let reply = state.newer(message);
+            let reply = reply.unwrap_or_else(|| state.unchanged(message));
             return request.reply(&node.key, &reply);
         }
     }
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -26,8 +26,7 @@
     ServiceReport, Status,
 };
 pub use watch::{
-    Announcement, Heartbeat, HeartbeatReply, Held, Order, Role, Scope, ServiceView, Watch,
-    WatchReply,
+    Announcement, Heartbeat, HeartbeatReply, Order, Role, Scope, ServiceView, Watch, WatchReply,
 };
 
 /// Paths of the interfaces between processes, and of operators to control.
--- a/crates/api/src/watch.rs
+++ b/crates/api/src/watch.rs
@@ -6,8 +6,8 @@
 use profile::{Profile, Service};
 use serde::{Deserialize, Serialize};
 use units::{
-    DataCentre, Epoch, HostName, Incarnation, Millis, Region, ServiceId, ServiceName, Slots,
-    Version, Weight,
+    DataCentre, HostName, Incarnation, Millis, Region, ServiceId, ServiceName, Slots, Version,
+    Weight,
 };
 
 use crate::{KeySet, MemberState, TableUpdate};
@@ -98,17 +98,6 @@
     Service(ServiceName),
 }
 
-/// Table that a node holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Held {
-    /// Service.
-    pub service: ServiceId,
-    /// Epoch of its table.
-    pub epoch: Epoch,
-    /// Number of key sets known, counted from the first one ever.
-    pub key_sets: u64,
-}
-
 /// Long poll; answered at once when something newer exists.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Watch {
@@ -120,8 +109,9 @@
     pub config: Version,
     /// Horizon held.
     pub horizon: Millis,
-    /// Tables held.
-    pub held: Vec<Held>,
+    /// Log index that the node's view reflects; 0 is none. One number instead of a version per
+    /// service keeps an idle poll small however many services the node watches.
+    pub index: u64,
     /// Longest wait for a change.
     pub wait_ms: Millis,
 }
@@ -154,4 +144,8 @@
     pub keys: Vec<(ServiceId, u64, Vec<KeySet>)>,
     /// Key times up to which the key sets are final.
     pub horizon: Millis,
+    /// Log index that the node's view reflects after these changes.
+    pub index: u64,
+    /// Everything of the scope: the node forgets services that are not in `services`.
+    pub whole: bool,
 }
--- a/crates/capacity/src/control.rs
+++ b/crates/capacity/src/control.rs
@@ -79,7 +79,7 @@
         scope: Scope::Region(Region(0)),
         config: Version(0),
         horizon: Millis(0),
-        held: Vec::new(),
+        index: 0,
         wait_ms: Millis(0),
     }
 }
--- a/crates/capacity/src/message.rs
+++ b/crates/capacity/src/message.rs
@@ -35,7 +35,7 @@
 }
 
 pub(crate) fn slopes(options: Options) -> Result<Vec<Slope>, MeasureError> {
-    let mut slopes = vec![heartbeats()?, watch_idle(options)?, deltas(options)?];
+    let mut slopes = vec![heartbeats()?, watch_idle()?, deltas(options)?];
     slopes.push(snapshots(options)?);
     Ok(slopes)
 }
@@ -82,40 +82,31 @@
     })
 }
 
-fn held(services: usize) -> Vec<api::Held> {
-    let held = |n| api::Held {
-        service: ServiceId::new(Region(0), n as u32),
-        epoch: Epoch(70_000),
-        key_sets: 0,
-    };
-    (0..services).map(held).collect()
-}
-
-fn watch_idle(options: Options) -> Result<Slope, MeasureError> {
+fn watch_idle() -> Result<Slope, MeasureError> {
+    let horizon = Millis(1_796_000_000_000);
+    let (config, index) = (Version(7_500), 10_000_000);
     let reply = WatchReply {
-        config: Version(7_500),
-        horizon: Millis(1_796_000_000_000),
+        config,
+        horizon,
+        index,
         ..WatchReply::default()
     };
-    let answer = encoded(&reply)?;
-    let mut points = Vec::new();
-    for services in fixture::sizes(1, 4, options.divisor) {
-        let request = Watch {
-            host: fixture::member(1).host,
-            scope: Scope::Region(Region(0)),
-            config: Version(7_500),
-            horizon: Millis(1_796_000_000_000),
-            held: held(services),
-            wait_ms: Millis(2_000),
-        };
-        points.push((services as f64, exchange(encoded(&request)?, answer)));
-    }
+    let request = Watch {
+        host: fixture::member(1).host,
+        scope: Scope::Region(Region(5)),
+        config,
+        horizon,
+        index,
+        wait_ms: Millis(2_000),
+    };
+    let one = exchange(encoded(&request)?, encoded(&reply)?);
+    let points = [1, 10, 100, 1_000].map(|count| (f64::from(count), f64::from(count) * one));
     Ok(Slope::new(
-        "balancer",
+        "node",
         "idle poll bytes",
-        "service watched",
+        "poll",
         "B",
-        points,
+        points.to_vec(),
     ))
 }
 
--- a/crates/state/src/declare.rs
+++ b/crates/state/src/declare.rs
@@ -14,6 +14,9 @@
 /// Most services; the design size has 2,100.
 pub const MAX_SERVICES: usize = 4_096;
 
+/// Retired services listed for nodes; a node that missed more gets everything anew.
+pub const MAX_RETIRED: usize = 4_096;
+
 /// Longest author in bytes.
 const MAX_AUTHOR: usize = 128;
 
@@ -195,7 +198,8 @@
             body: service.clone(),
         };
         self.services.insert(service.name.clone(), entry);
-        self.tables.insert(id, TableLog::new(id, self.now));
+        self.tables
+            .insert(id, TableLog::new(id, self.now, self.index));
     }
 
     fn retire_profile(&mut self, name: &str) -> Option<Outcome> {
@@ -230,11 +234,19 @@
         self.services.retain(|service, _| service.as_str() != name);
         self.tables.remove(&id);
         self.keys.remove(&id);
+        self.note_retired(id);
         self.burn.forget(id);
         self.config = self.config.next();
         None
     }
 
+    fn note_retired(&mut self, id: ServiceId) {
+        self.retired.push_back((self.index, id));
+        if self.retired.len() > MAX_RETIRED {
+            self.forgotten = self.retired.pop_front().map_or(0, |(index, _)| index);
+        }
+    }
+
     /// A declaration with its version.
     #[must_use]
     pub fn stored(&self, kind: &str, name: &str) -> Option<Stored> {
--- a/crates/state/src/key_log.rs
+++ b/crates/state/src/key_log.rs
@@ -18,6 +18,8 @@
 pub(crate) struct KeyLog {
     first: u64,
     sets: VecDeque<KeySet>,
+    /// Log index at which each set was added.
+    added: VecDeque<u64>,
 }
 
 impl KeyLog {
@@ -25,23 +27,19 @@
         self.sets.back()
     }
 
-    /// Number of sets ever.
-    pub(crate) fn count(&self) -> u64 {
-        self.first + self.sets.len() as u64
-    }
-
     /// Adds a set; whether it was new.
     ///
     /// It starts after the horizon, because keys up to there may have been
     /// granted under the last set. No key can have been under a set that is
     /// absent or too small, so its place is taken at once.
-    pub(crate) fn add(&mut self, horizon: Millis, members: &[KeyMember]) -> bool {
+    pub(crate) fn add(&mut self, horizon: Millis, index: u64, members: &[KeyMember]) -> bool {
         let start = match self.last() {
             None => Millis(0),
             Some(last) if last.members == members => return false,
             Some(last) if last.members.len() < MIN_GRANTS => last.start,
             Some(last) => Millis(horizon.max(last.start).0 + 1),
         };
+        self.added.push_back(index);
         self.sets.push_back(KeySet {
             start,
             members: members.to_vec(),
@@ -53,17 +51,19 @@
     pub(crate) fn prune(&mut self, before: Millis) {
         while self.sets.len() > 1 && (self.sets.len() > MAX_SETS || self.sets[1].start <= before) {
             self.sets.pop_front();
+            self.added.pop_front();
             self.first += 1;
         }
     }
 
-    /// Sets that a holder of `held` ones lacks, with the number of the first one.
-    pub(crate) fn since(&self, held: u64) -> Option<(u64, Vec<KeySet>)> {
-        if held >= self.count() {
-            return None;
-        }
-        let from = held.max(self.first);
-        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
-        Some((from, self.sets.iter().skip(skip).cloned().collect()))
+    /// Sets added after a log index, with the number of the first one.
+    pub(crate) fn since(&self, index: u64) -> Option<(u64, Vec<KeySet>)> {
+        let skip = self
+            .added
+            .iter()
+            .take_while(|added| **added <= index)
+            .count();
+        let sets: Vec<_> = self.sets.iter().skip(skip).cloned().collect();
+        (!sets.is_empty()).then(|| (self.first + skip as u64, sets))
     }
 }
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -1,6 +1,6 @@
 //! The state and how commands change it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use api::{Announce, AuditEntry, AuditEvent, BurnBatch, KeyMember, KeySet, Table};
 use burn::Ledger;
@@ -37,6 +37,10 @@
     pub(crate) last_service: u32,
     pub(crate) tables: BTreeMap<ServiceId, TableLog>,
     pub(crate) keys: BTreeMap<ServiceId, KeyLog>,
+    /// Retired services with the log index of their retirement, oldest first.
+    pub(crate) retired: VecDeque<(u64, ServiceId)>,
+    /// Log index of the newest retirement that is no longer listed.
+    pub(crate) forgotten: u64,
     pub(crate) horizon: Millis,
     pub(crate) plans: BTreeMap<u64, Plan>,
     pub(crate) last_plan: u64,
@@ -128,7 +132,7 @@
             let applied = self
                 .tables
                 .get_mut(&change.service)
-                .and_then(|log| log.apply(self.now, change));
+                .and_then(|log| log.apply(self.now, self.index, change));
             let Some(applied) = applied else { continue };
             let put = applied.put.iter().map(|m| (&m.host, m.state.to_string()));
             let gone = applied.gone.iter().map(|(host, _)| (host, "gone".into()));
@@ -151,7 +155,7 @@
         let window = profile.map_or(Millis(0), |entry| entry.body.keys.window_ms);
         let before = self.now.since(Millis(window.0 + KEY_SLACK_MS));
         let log = self.keys.entry(service).or_default();
-        log.add(self.horizon, members);
+        log.add(self.horizon, self.index, members);
         log.prune(before);
         Outcome::Done
     }
--- a/crates/state/src/table_log.rs
+++ b/crates/state/src/table_log.rs
@@ -19,6 +19,8 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Step {
+    /// Log index of the change.
+    index: u64,
     to: Epoch,
     put: Vec<Member>,
     gone: Vec<(HostName, Incarnation)>,
@@ -30,12 +32,18 @@
     pub(crate) table: Table,
     history: VecDeque<Step>,
     known: BTreeMap<HostName, Incarnation>,
+    /// Log index of the newest change.
+    index: u64,
+    /// Log index of the table from which the kept history starts.
+    start: u64,
 }
 
 impl TableLog {
     /// Table without members at epoch 1.
-    pub(crate) fn new(service: ServiceId, now: Millis) -> Self {
+    pub(crate) fn new(service: ServiceId, now: Millis, index: u64) -> Self {
         Self {
+            index,
+            start: index,
             table: Table {
                 service,
                 epoch: Epoch(1),
@@ -58,7 +66,12 @@
     }
 
     /// Applies what is new in a change; returns it, or `None` if nothing is.
-    pub(crate) fn apply(&mut self, now: Millis, change: &TableChange) -> Option<TableChange> {
+    pub(crate) fn apply(
+        &mut self,
+        now: Millis,
+        index: u64,
+        change: &TableChange,
+    ) -> Option<TableChange> {
         let mut gone = change.gone.clone();
         gone.retain(|(host, start)| self.find(host, *start).is_some());
         gone.dedup();
@@ -81,7 +94,9 @@
             return None;
         }
         self.remember(&put);
+        self.index = index;
         let step = Step {
+            index,
             to: self.table.epoch.next(),
             put: put.clone(),
             gone: gone.clone(),
@@ -96,8 +111,8 @@
         };
         self.table.apply(&TableUpdate::Delta(delta));
         self.history.push_back(step);
-        while self.history.len() > MAX_HISTORY {
-            self.history.pop_front();
+        if self.history.len() > MAX_HISTORY {
+            self.start = self.history.pop_front().map_or(index, |step| step.index);
         }
         Some(TableChange {
             service: change.service,
@@ -124,13 +139,19 @@
         }
     }
 
-    /// What a holder of an epoch lacks; `None` if nothing.
-    pub(crate) fn since(&self, held: Epoch) -> Option<TableUpdate> {
-        if held >= self.table.epoch {
+    /// What a node lacks whose view reflects a log index; `None` if nothing.
+    pub(crate) fn since(&self, index: u64) -> Option<TableUpdate> {
+        if index >= self.index {
             return None;
         }
-        let oldest = self.history.front().map(|step| step.to);
-        let covered = held.0 > 0 && oldest.is_some_and(|to| to <= held.next());
+        let newer = self
+            .history
+            .iter()
+            .filter(|step| step.index > index)
+            .count();
+        let held = Epoch(self.table.epoch.0 - newer as u64);
+        // The node holds the table from which the oldest kept step starts, or a newer one.
+        let covered = index >= self.start;
         let delta = covered.then(|| self.delta(held));
         match delta {
             Some(delta) if delta.put.len() + delta.gone.len() < self.table.members.len().max(2) => {
--- a/crates/state/src/watch.rs
+++ b/crates/state/src/watch.rs
@@ -1,8 +1,6 @@
 //! What a node lacks.
 
-use std::collections::BTreeMap;
-
-use api::{Held, Scope, ServiceView, Watch, WatchReply};
+use api::{Scope, ServiceView, Watch, WatchReply};
 use units::{ServiceId, Version};
 
 use crate::{ServiceEntry, State};
@@ -11,33 +9,32 @@
     /// Answer to a long poll; `None` if nothing is newer or this replica is behind the node.
     #[must_use]
     pub fn newer(&self, watch: &Watch) -> Option<WatchReply> {
-        if watch.config > self.config {
+        if watch.config > self.config || watch.index > self.index {
             return None;
         }
-        let held: BTreeMap<ServiceId, &Held> = watch.held.iter().map(|h| (h.service, h)).collect();
+        let whole = watch.index == 0 || watch.index < self.forgotten;
+        let (index, config) = if whole {
+            (0, Version(0))
+        } else {
+            (watch.index, watch.config)
+        };
         let agent = matches!(watch.scope, Scope::Service(_));
         let mut reply = WatchReply {
-            config: self.config,
-            horizon: self.horizon.max(watch.horizon),
-            ..WatchReply::default()
+            whole,
+            ..self.unchanged(watch)
         };
         for entry in self.scoped(&watch.scope) {
-            let held = held.get(&entry.id).copied();
-            // A node that came to the service after its last change holds neither.
-            let since = held.map_or(Version(0), |_| watch.config);
             reply
                 .services
-                .extend(self.view(entry).filter(|view| view.version > since));
-            let log = self.tables.get(&entry.id);
-            let epoch = held.map(|h| h.epoch).unwrap_or_default();
-            reply.tables.extend(log.and_then(|log| log.since(epoch)));
+                .extend(self.view(entry).filter(|view| view.version > config));
+            let table = self.tables.get(&entry.id).and_then(|log| log.since(index));
+            reply.tables.extend(table);
             let keys = self.keys.get(&entry.id).filter(|_| agent);
-            let count = held.map_or(0, |h| h.key_sets);
-            if let Some((first, sets)) = keys.and_then(|log| log.since(count)) {
+            if let Some((first, sets)) = keys.and_then(|log| log.since(index)) {
                 reply.keys.push((entry.id, first, sets));
             }
         }
-        reply.retired = self.retired(watch);
+        reply.retired = self.retired_since(index);
         let changed = reply.config > watch.config
             || !reply.services.is_empty()
             || !reply.retired.is_empty()
@@ -47,6 +44,17 @@
         changed.then_some(reply)
     }
 
+    /// Answer at the end of a long poll in which nothing became newer.
+    #[must_use]
+    pub fn unchanged(&self, watch: &Watch) -> WatchReply {
+        WatchReply {
+            config: self.config.max(watch.config),
+            horizon: self.horizon.max(watch.horizon),
+            index: self.index.max(watch.index),
+            ..WatchReply::default()
+        }
+    }
+
     fn scoped<'a>(&'a self, scope: &'a Scope) -> Box<dyn Iterator<Item = &'a ServiceEntry> + 'a> {
         match scope {
             Scope::Service(name) => Box::new(self.services.get(name).into_iter()),
@@ -67,11 +75,8 @@
         })
     }
 
-    /// Held services that no longer exist, however long ago they were retired.
-    /// A service has a table from its first version on, so every node that
-    /// knows a service holds its table.
-    fn retired(&self, watch: &Watch) -> Vec<ServiceId> {
-        let held = watch.held.iter().map(|held| held.service);
-        held.filter(|id| !self.tables.contains_key(id)).collect()
+    fn retired_since(&self, index: u64) -> Vec<ServiceId> {
+        let newer = self.retired.iter().filter(|(at, _)| *at > index);
+        newer.map(|(_, id)| *id).collect()
     }
 }
--- a/crates/state/tests/all/tables.rs
+++ b/crates/state/tests/all/tables.rs
@@ -3,27 +3,26 @@
 #![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
 
 use crate::common::{Log, NOW, member, profile, service};
-use api::{Held, KeyMember, MemberState, Scope, Table, TableUpdate, Watch, WatchReply};
+use api::{KeyMember, MemberState, Scope, Table, TableUpdate, Watch, WatchReply};
 use state::{Action, MAX_HISTORY, MAX_MEMBERS, MAX_SETS};
 use units::{Epoch, Incarnation, Millis, Version};
 
-fn watch(log: &Log, config: u64, epoch: u64, key_sets: u64) -> Watch {
+/// Log index of the first table of `Log::with_service`.
+const FIRST: u64 = 2;
+
+fn watch(log: &Log, config: u64, index: u64) -> Watch {
     Watch {
         host: "n".parse().unwrap(),
         scope: Scope::Service("s".parse().unwrap()),
         config: Version(config),
         horizon: log.state.horizon(),
-        held: vec![Held {
-            service: log.id("s"),
-            epoch: Epoch(epoch),
-            key_sets,
-        }],
+        index,
         wait_ms: Millis(0),
     }
 }
 
-fn newer(log: &Log, config: u64, epoch: u64, key_sets: u64) -> Option<WatchReply> {
-    log.state.newer(&watch(log, config, epoch, key_sets))
+fn newer(log: &Log, config: u64, index: u64) -> Option<WatchReply> {
+    log.state.newer(&watch(log, config, index))
 }
 
 /// Guards against a node that misses hundreds of changes and ends with another
@@ -31,7 +30,7 @@
 #[test]
 fn every_lag_leads_to_the_same_table() {
     let mut log = Log::with_service();
-    let mut held: Vec<Table> = vec![log.state.table(log.id("s")).unwrap().clone()];
+    let mut held: Vec<(u64, Table)> = vec![(FIRST, log.state.table(log.id("s")).unwrap().clone())];
     for round in 0..(MAX_HISTORY as u64 + 50) {
         let host = format!("h{}", round % 40);
         let state = [MemberState::Warming, MemberState::Serving][(round / 40) as usize % 2];
@@ -39,12 +38,15 @@
             log.members(&[], &[(&host, round - 40)]);
         }
         log.members(&[member(&host, round, state)], &[]);
-        held.push(log.state.table(log.id("s")).unwrap().clone());
+        held.push((
+            log.state.index(),
+            log.state.table(log.id("s")).unwrap().clone(),
+        ));
     }
-    let last = held.last().unwrap().clone();
+    let last = held.last().unwrap().1.clone();
     let mut kinds = [0, 0];
-    for mut table in held {
-        let Some(reply) = newer(&log, 2, table.epoch.0, 0) else {
+    for (index, mut table) in held {
+        let Some(reply) = newer(&log, 2, index) else {
             assert_eq!(table, last);
             continue;
         };
@@ -66,7 +68,7 @@
     let states = [MemberState::Warming, MemberState::Serving];
     log.members(&["a", "b", "c"].map(|host| member(host, 1, states[0])), &[]);
     for round in 0..MAX_HISTORY {
-        let reply = newer(&log, 2, 1, 0).unwrap();
+        let reply = newer(&log, 2, FIRST).unwrap();
         let mut table = Table {
             epoch: Epoch(1),
             members: Vec::new(),
@@ -75,19 +77,19 @@
         assert!(table.apply(&reply.tables[0]));
         assert_eq!(table.members.len(), 3, "{round}");
         let delta = matches!(
-            newer(&log, 2, 2, 0).unwrap_or_default().tables[..],
+            newer(&log, 2, FIRST + 1).unwrap_or_default().tables[..],
             [TableUpdate::Delta(_)]
         );
         assert!(delta || round == 0);
         log.members(&[member("a", 1, states[(round + 1) % 2])], &[]);
     }
-    let delta = |epoch| {
+    let delta = |index| {
         matches!(
-            newer(&log, 2, epoch, 0).unwrap().tables[..],
+            newer(&log, 2, index).unwrap().tables[..],
             [TableUpdate::Delta(_)]
         )
     };
-    assert!(delta(2) && !delta(1));
+    assert!(delta(FIRST + 1) && !delta(FIRST));
 }
 
 /// Guards against a late start of an old process, and a table beyond its limit.
@@ -114,10 +116,10 @@
 fn nothing_older_is_sent() {
     let mut log = Log::with_service();
     log.members(&[member("a", 5, MemberState::Serving)], &[]);
-    assert_eq!(newer(&log, 3, 1, 0), None);
-    assert_eq!(newer(&log, 2, 2, 0), None);
-    assert_eq!(newer(&log, 2, 3, 0), None);
-    let reply = newer(&log, 2, 1, 0).unwrap();
+    assert_eq!(newer(&log, 3, FIRST), None);
+    assert_eq!(newer(&log, 2, FIRST + 1), None);
+    assert_eq!(newer(&log, 2, FIRST + 2), None);
+    let reply = newer(&log, 2, FIRST).unwrap();
     assert_eq!((reply.config, reply.tables.len()), (Version(2), 1));
 }
 
@@ -126,7 +128,7 @@
 #[test]
 fn changes_reach_nodes_of_any_lag() {
     let mut log = Log::with_service();
-    let asked = watch(&log, 2, 1, 0);
+    let asked = watch(&log, 2, FIRST);
     let id = log.id("s");
     log.put(1, profile("p", 7));
     let reply = log.state.newer(&asked).unwrap();
@@ -142,6 +144,16 @@
     let reply = log.state.newer(&asked).unwrap();
     assert_eq!((reply.services.len(), reply.tables.len()), (1, 1));
     assert_eq!(reply.retired, [id]);
+    assert!(!reply.whole);
+    for _ in 0..state::MAX_RETIRED {
+        log.now = Millis(log.now.0 + 1);
+        log.put(0, service("t", "p", 2));
+        let current = log.state.config().0;
+        log.retire("service", "t", current);
+    }
+    let reply = log.state.newer(&asked).unwrap();
+    assert!(reply.whole);
+    assert_eq!((reply.services.len(), reply.tables.len()), (1, 1));
 }
 
 fn key_member(host: &str) -> KeyMember {
@@ -159,6 +171,7 @@
     let mut log = Log::with_service();
     let service = log.id("s");
     let mut starts = Vec::new();
+    let mut indexes = Vec::new();
     // (members, horizon before the command)
     let cases = [
         (vec!["a"], 10_000),
@@ -174,14 +187,15 @@
         log.run(Action::KeySet { service, members });
         let start = log.state.key_set_of(service).unwrap().start;
         starts.push(start.since(NOW).0);
+        indexes.push(log.state.index());
     }
     // A set of one agent grants nothing, so its place is taken at once.
     assert_eq!(starts, [0, 0, 30_001, 30_001, 30_002, 40_001]);
     log.run(Action::Horizon(Millis(5)));
     assert_eq!(log.state.horizon(), Millis(NOW.0 + 40_000));
-    let (_, first, sets) = newer(&log, 2, 1, 2).unwrap().keys.remove(0);
+    let (_, first, sets) = newer(&log, 2, indexes[1]).unwrap().keys.remove(0);
     assert_eq!((first, sets.len()), (2, 3));
-    assert_eq!(newer(&log, 2, 1, 5), None);
+    assert_eq!(newer(&log, 2, log.state.index()), None);
 }
 
 /// Guards against key sets that pile up, or go while keys of them are still remembered.
@@ -196,7 +210,7 @@
         let members = vec![key_member(&format!("h{round}")), key_member("z")];
         log.run(Action::KeySet { service, members });
     }
-    let (_, first, sets) = newer(&log, 2, 1, 0).unwrap().keys.remove(0);
+    let (_, first, sets) = newer(&log, 2, FIRST).unwrap().keys.remove(0);
     assert_eq!(first + sets.len() as u64, 200);
     let window = log.now.0 - 660_000;
     assert!(sets[0].start.0 <= window && sets[1].start.0 > window);
@@ -205,7 +219,7 @@
         let members = vec![key_member(&format!("g{round}")), key_member("z")];
         log.run(Action::KeySet { service, members });
     }
-    assert_eq!(newer(&log, 2, 1, 0).unwrap().keys[0].2.len(), MAX_SETS);
+    assert_eq!(newer(&log, 2, FIRST).unwrap().keys[0].2.len(), MAX_SETS);
 }
 
 /// Guards against audit entries of changes that are pushed out by restarts of members.
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -32,10 +32,12 @@
     let mut peers = Peers::new(settings.control.clone(), rand::random_range(0..64));
     let mut backoff = BACKOFF.start;
     let mut first = true;
+    // Log index that the view reflects.
+    let mut index = 0;
     loop {
         let Some(peer) = peers.get() else { return };
         let view = Arc::clone(&out.borrow());
-        let message = request(&settings, &view);
+        let message = request(&settings, &view, index);
         let start = Instant::now();
         let limit = settings.wait + MARGIN;
         let result: Result<WatchReply, RpcError> =
@@ -43,7 +45,7 @@
         match result {
             Ok(reply) => {
                 backoff = BACKOFF.start;
-                if view.is_older(&reply) {
+                if view.is_older(&reply) || reply.index < index {
                     warn!(log, "replica answered with an older configuration"; "peer" => %peer,
                         "held" => view.config.0, "offered" => reply.config.0);
                     peers.failed(&RpcError::Invalid {
@@ -52,7 +54,10 @@
                         message: "older configuration".into(),
                     });
                     sleep(IDLE).await;
-                } else if let Some(next) = view.updated(&reply, Instant::now()) {
+                    continue;
+                }
+                index = reply.index;
+                if let Some(next) = view.updated(&reply, Instant::now()) {
                     out.send_replace(Arc::new(next));
                     if std::mem::take(&mut first) {
                         info!(log, "first tables received"; "config" => reply.config.0);
@@ -73,13 +78,13 @@
     }
 }
 
-fn request(settings: &WatcherSettings, view: &View) -> Watch {
+fn request(settings: &WatcherSettings, view: &View, index: u64) -> Watch {
     Watch {
         host: settings.host.clone(),
         scope: settings.scope.clone(),
         config: view.config,
         horizon: view.horizon,
-        held: view.held(),
+        index,
         wait_ms: Millis::from(settings.wait),
     }
 }
--- a/crates/watcher/src/view.rs
+++ b/crates/watcher/src/view.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use api::{Held, KeySet, ServiceView, Table, TableUpdate, WatchReply};
+use api::{KeySet, ServiceView, Table, TableUpdate, WatchReply};
 use tokio::time::Instant;
-use units::{Epoch, Millis, ServiceId, Version};
+use units::{Millis, ServiceId, Version};
 
 /// Earlier tables that are kept besides the current one.
 pub const EARLIER_TABLES: usize = 3;
@@ -42,18 +42,6 @@
 }
 
 impl View {
-    pub(crate) fn held(&self) -> Vec<Held> {
-        let held = |service: &ServiceId| Held {
-            service: *service,
-            epoch: self
-                .tables
-                .get(service)
-                .map_or(Epoch(0), |t| t.current.epoch),
-            key_sets: self.key_sets(*service),
-        };
-        self.services.keys().map(held).collect()
-    }
-
     fn key_sets(&self, service: ServiceId) -> u64 {
         let dropped = self.dropped.get(&service).copied().unwrap_or(0);
         dropped + self.keys.get(&service).map_or(0, |sets| sets.len() as u64)
@@ -77,11 +65,13 @@
         for service in &reply.services {
             changed |= next.put_service(service);
         }
-        for service in &reply.retired {
-            changed |= next.services.remove(service).is_some();
-            next.tables.remove(service);
-            next.keys.remove(service);
-            next.dropped.remove(service);
+        let present = |id: &ServiceId| reply.services.iter().any(|service| service.id == *id);
+        let absent = self
+            .services
+            .keys()
+            .filter(|id| reply.whole && !present(id));
+        for service in reply.retired.iter().chain(absent) {
+            changed |= next.forget(*service);
         }
         for update in &reply.tables {
             changed |= next.put_table(update, now);
@@ -92,6 +82,13 @@
         changed.then_some(next)
     }
 
+    fn forget(&mut self, service: ServiceId) -> bool {
+        self.tables.remove(&service);
+        self.keys.remove(&service);
+        self.dropped.remove(&service);
+        self.services.remove(&service).is_some()
+    }
+
     fn put_service(&mut self, service: &ServiceView) -> bool {
         let newer = self
             .services
--- a/crates/watcher/tests/view.rs
+++ b/crates/watcher/tests/view.rs
@@ -177,6 +177,17 @@
     assert_eq!(starts, [1, 2, 3]);
 }
 
+#[test]
+fn forgets_services_that_a_whole_answer_does_not_name() {
+    let whole = WatchReply {
+        config: Version(6),
+        whole: true,
+        ..WatchReply::default()
+    };
+    let view = start().updated(&whole, Instant::now()).unwrap();
+    assert!(view.services.is_empty() && view.tables.is_empty());
+}
+
 #[test]
 fn forgets_a_retired_service_and_never_lowers_the_horizon() {
     let high = WatchReply {
