--- /dev/null
+++ b/crates/replication/tests/follower.rs
@@ -0,0 +1,223 @@
+//! A follower whose leaders and fellow voters are played by the test.
+
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use replication::*;
+use units::ReplicaId;
+
+const SECOND: ReplicaId = ReplicaId(2);
+const THIRD: ReplicaId = ReplicaId(3);
+
+fn config(voters: u64) -> Config {
+    Config::new((1..=voters).map(|n| (ReplicaId(n), ([10, 0, 0, n as u8], 7).into())))
+}
+
+fn empty(term: u64, index: u64) -> Entry {
+    Entry {
+        term,
+        index,
+        payload: Payload::Empty,
+    }
+}
+
+/// Replica 1 of three with entries 1 to 3 of term 1.
+fn follower(now: Instant) -> State {
+    let payload = Payload::Config(config(3));
+    let entries = vec![
+        Entry {
+            term: 1,
+            index: 1,
+            payload,
+        },
+        empty(1, 2),
+        empty(1, 3),
+    ];
+    let vote = Vote {
+        term: 1,
+        voted: None,
+    };
+    let restored = Restored {
+        vote,
+        snapshot: None,
+        entries,
+    };
+    State::new(Settings::default(), restored, StdRng::seed_from_u64(1), now)
+}
+
+fn receive(state: &mut State, now: Instant, from: ReplicaId, term: u64, body: Body) -> Vec<Action> {
+    let mut out = Vec::new();
+    let message = Message { term, body };
+    state.handle(now, Event::Message { from, message }, &mut out);
+    out
+}
+
+fn append(prev: u64, prev_term: u64, entries: Vec<Entry>) -> Body {
+    Body::Append {
+        prev,
+        prev_term,
+        entries,
+        commit: 0,
+    }
+}
+
+fn bodies(out: &[Action]) -> Vec<&Body> {
+    let sent = out.iter().filter_map(|a| match a {
+        Action::Send { message, .. } => Some(&message.body),
+        _ => None,
+    });
+    sent.collect()
+}
+
+/// Guards against entries of an earlier leader, kept because they came too
+/// early, that are acknowledged to the next one.
+#[test]
+fn early_entries_end_with_their_leader() {
+    let now = Instant::now();
+    let mut state = follower(now);
+    let out = receive(&mut state, now, SECOND, 4, append(5, 4, vec![empty(4, 6)]));
+    assert!(
+        matches!(
+            bodies(&out)[..],
+            [Body::Rejected {
+                prev: 5,
+                hint: 3,
+                ..
+            }]
+        ),
+        "{out:?}"
+    );
+    let out = receive(
+        &mut state,
+        now,
+        THIRD,
+        5,
+        append(3, 1, vec![empty(4, 4), empty(4, 5)]),
+    );
+    assert_eq!(bodies(&out), [&Body::Accepted { matched: 5 }]);
+    assert_eq!(state.last(), 5);
+}
+
+/// Guards against a membership that stays after its entry was replaced.
+#[test]
+fn replaced_membership_is_undone() {
+    let now = Instant::now();
+    let mut state = follower(now);
+    let payload = Payload::Config(config(5));
+    let entry = Entry {
+        term: 4,
+        index: 4,
+        payload,
+    };
+    receive(&mut state, now, SECOND, 4, append(3, 1, vec![entry]));
+    assert_eq!(state.config().voters().count(), 5);
+    receive(&mut state, now, THIRD, 5, append(3, 1, vec![empty(5, 4)]));
+    assert_eq!(state.config().voters().count(), 3);
+}
+
+/// Guards against a new leader that counts entries of its own log that were
+/// replaced since they were synced.
+#[test]
+fn replaced_entries_are_not_synced() {
+    let now = Instant::now();
+    let mut state = follower(now);
+    receive(&mut state, now, SECOND, 4, append(1, 1, vec![empty(4, 2)]));
+    let due = state.deadline();
+    let mut out = Vec::new();
+    state.handle(due, Event::Tick, &mut out);
+    receive(
+        &mut state,
+        due,
+        SECOND,
+        5,
+        Body::PreVoteReply { granted: true },
+    );
+    receive(
+        &mut state,
+        due,
+        SECOND,
+        5,
+        Body::VoteReply { granted: true },
+    );
+    assert_eq!((state.role(), state.last()), (RoleName::Leader, 3));
+    receive(&mut state, due, SECOND, 5, Body::Accepted { matched: 3 });
+    assert_eq!(state.commit(), 0, "entry 3 is only on one disk");
+}
+
+/// Guards against a candidate that asks for votes before its own is synced: after
+/// a crash it could vote for another one in the same term.
+#[test]
+fn own_vote_is_synced_before_the_request() {
+    let now = Instant::now();
+    let mut state = follower(now);
+    let due = state.deadline();
+    state.handle(due, Event::Tick, &mut Vec::new());
+    let out = receive(
+        &mut state,
+        due,
+        SECOND,
+        2,
+        Body::PreVoteReply { granted: true },
+    );
+    let Some(Action::Store {
+        seq,
+        write: Write::Vote(vote),
+    }) = out.first()
+    else {
+        panic!("{out:?}");
+    };
+    assert_eq!((vote.term, vote.voted), (2, Some(ReplicaId(1))));
+    let after = out.iter().filter_map(|a| match a {
+        Action::Send {
+            after,
+            message:
+                Message {
+                    body: Body::Vote { .. },
+                    ..
+                },
+            ..
+        } => Some(after),
+        _ => None,
+    });
+    assert_eq!(after.collect::<Vec<_>>(), [seq, seq]);
+}
+
+/// Guards against a replica that lost contact and deposes a leader that the
+/// others still hear.
+#[test]
+fn voter_that_hears_a_leader_ignores_candidates() {
+    let now = Instant::now();
+    let mut state = follower(now);
+    receive(
+        &mut state,
+        now,
+        SECOND,
+        4,
+        Body::Heartbeat {
+            round: 1,
+            commit: 0,
+        },
+    );
+    let (last, last_term) = (9, 9);
+    let out = receive(&mut state, now, THIRD, 5, Body::PreVote { last, last_term });
+    assert_eq!(bodies(&out), [&Body::PreVoteReply { granted: false }]);
+    let vote = |transfer| Body::Vote {
+        last,
+        last_term,
+        transfer,
+    };
+    let out = receive(&mut state, now, THIRD, 5, vote(false));
+    assert!(out.is_empty() && state.term() == 4, "{out:?}");
+    let later = now + Settings::default().election.0;
+    let out = receive(
+        &mut state,
+        later,
+        THIRD,
+        5,
+        Body::PreVote { last, last_term },
+    );
+    assert_eq!(bodies(&out), [&Body::PreVoteReply { granted: true }]);
+    let out = receive(&mut state, now, THIRD, 5, vote(true));
+    assert_eq!(bodies(&out), [&Body::VoteReply { granted: true }]);
+}
