Test the control program with one and three replicas

The tests start built processes on loopback ports: broken starts with one line each, stops during long polls, keys and old processes, a node that missed 300 changes, batches counted once, versions in force, references to the leader, long polls at every replica, restart of all replicas, loss and hand-over of the leader, and a replica without contact.

--- a/bin/control/src/lead.rs
+++ b/bin/control/src/lead.rs
@@ -12,8 +12,8 @@
 
 use crate::node::{Node, now};
 
-/// Time between ticks.
-const TICK: Duration = Duration::from_millis(100);
+/// Time between ticks; adds to the coalescing time of table changes.
+const TICK: Duration = Duration::from_millis(50);
 
 /// Time until leadership is handed over again while a planned change lasts.
 const TRANSFER_EVERY: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/bin/control/tests/all/harness.rs
@@ -0,0 +1,217 @@
+//! Control processes on loopback ports.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use api::{Heartbeat, Role, Scope, Watch};
+use rpc::{Client, Key};
+use tempfile::TempDir;
+use units::{Incarnation, Millis, Version};
+
+/// Longest wait for anything that a process should do.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// Shared key of the tests.
+pub const KEY: [u8; 32] = [0xab; 32];
+
+/// A group of control processes in one folder; all are ended with it.
+pub struct Group {
+    /// Folder of settings and data.
+    pub dir: TempDir,
+    /// Address of each replica.
+    pub addresses: Vec<SocketAddr>,
+    program: PathBuf,
+    running: Vec<Option<Child>>,
+    lines: Vec<Arc<Mutex<Vec<String>>>>,
+}
+
+impl Group {
+    /// Starts a group and waits until each replica is ready.
+    pub fn start(program: &Path, size: usize) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let text = "ab".repeat(KEY.len());
+        std::fs::write(dir.path().join("key.hex"), text).unwrap();
+        let mut group = Self {
+            dir,
+            addresses: free_addresses(size),
+            program: program.into(),
+            running: (0..size).map(|_| None).collect(),
+            lines: (0..size).map(|_| Arc::default()).collect(),
+        };
+        for index in 0..size {
+            group.write_settings(index, |_| {});
+        }
+        group.run_all();
+        group
+    }
+
+    /// Starts every replica that is not running.
+    pub fn run_all(&mut self) {
+        let stopped = (0..self.running.len()).filter(|index| self.running[*index].is_none());
+        let stopped: Vec<_> = stopped.collect();
+        let ready: Vec<_> = stopped.iter().map(|index| self.spawn(*index)).collect();
+        for ready in ready {
+            ready.recv_timeout(LIMIT).expect("a replica is not ready");
+        }
+    }
+
+    /// Log lines of a replica.
+    pub fn lines(&self, index: usize) -> Vec<String> {
+        self.lines[index].lock().unwrap().clone()
+    }
+
+    fn spawn(&mut self, index: usize) -> mpsc::Receiver<()> {
+        let mut child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(self.settings(index))
+            .current_dir(self.dir.path())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (sender, ready) = mpsc::channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let kept = Arc::clone(&self.lines[index]);
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if line.contains(r#""msg":"ready""#) {
+                    let _sent = sender.send(());
+                }
+                kept.lock().unwrap().push(line);
+            }
+        });
+        self.running[index] = Some(child);
+        ready
+    }
+
+    /// Settings file of a replica.
+    pub fn settings(&self, index: usize) -> PathBuf {
+        self.dir.path().join(format!("control-{}.jsonc", index + 1))
+    }
+
+    /// Writes the settings of a replica after a change.
+    pub fn write_settings(&self, index: usize, change: impl FnOnce(&mut serde_json::Value)) {
+        let peer = |(at, address): (usize, &SocketAddr)| serde_json::json!({ "id": at + 1, "address": address });
+        let peers: Vec<_> = self.addresses.iter().enumerate().map(peer).collect();
+        let mut settings = serde_json::json!({
+            "id": index + 1,
+            "host": format!("control-{}", index + 1),
+            "centre": "dc-1",
+            "listen": self.addresses[index],
+            "folder": format!("data/control-{}", index + 1),
+            "key_file": "key.hex",
+            "peers": peers,
+        });
+        change(&mut settings);
+        std::fs::write(self.settings(index), settings.to_string()).unwrap();
+    }
+
+    /// Ends a replica at once.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.running[index].take() {
+            let _killed = child.kill();
+            let _status = child.wait();
+        }
+    }
+
+    /// Sends SIGTERM and waits for a clean end; returns how long it took.
+    pub fn stop(&mut self, index: usize) -> Duration {
+        let start = Instant::now();
+        let mut child = self.running[index].take().unwrap();
+        let id = nix::unistd::Pid::from_raw(i32::try_from(child.id()).unwrap());
+        nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).unwrap();
+        assert!(child.wait().unwrap().success());
+        start.elapsed()
+    }
+
+    /// Client of the paths between processes.
+    pub fn client(&self) -> Client {
+        Client::new(Key::from(KEY))
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        (0..self.running.len()).for_each(|index| self.kill(index));
+    }
+}
+
+/// Addresses whose ports were free a moment ago.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+    let listeners: Vec<_> = (0..count).map(bind).collect();
+    let address = |listener: &TcpListener| listener.local_addr().unwrap();
+    listeners.iter().map(address).collect()
+}
+
+/// Runs a program to its end; ended after the limit.
+pub fn run(command: &mut Command) -> Output {
+    let piped = command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut child = piped.spawn().unwrap();
+    let (mut out, mut err) = (child.stdout.take().unwrap(), child.stderr.take().unwrap());
+    let read_err = thread::spawn(move || {
+        let mut bytes = Vec::new();
+        err.read_to_end(&mut bytes).unwrap();
+        bytes
+    });
+    let read_out = thread::spawn(move || {
+        let mut bytes = Vec::new();
+        out.read_to_end(&mut bytes).unwrap();
+        bytes
+    });
+    let deadline = Instant::now() + LIMIT;
+    let status = loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            break status;
+        }
+        if Instant::now() > deadline {
+            let _killed = child.kill();
+        }
+        thread::sleep(Duration::from_millis(10));
+    };
+    Output {
+        status,
+        stdout: read_out.join().unwrap(),
+        stderr: read_err.join().unwrap(),
+    }
+}
+
+/// Heartbeat of a balancer.
+pub fn beat(host: &str, config: u64) -> Heartbeat {
+    Heartbeat {
+        host: host.parse().unwrap(),
+        role: Role::Balancer,
+        region: Default::default(),
+        centre: "dc-1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        config: Version(config),
+        flows: 0,
+        backend: None,
+        leaving: false,
+    }
+}
+
+/// Long poll of a node that holds a configuration version and no table.
+pub fn poll(config: u64, wait_ms: u64) -> Watch {
+    Watch {
+        host: "n".parse().unwrap(),
+        scope: Scope::Region(Default::default()),
+        config: Version(config),
+        horizon: Millis(0),
+        held: Vec::new(),
+        wait_ms: Millis(wait_ms),
+    }
+}
+
+/// Runs a future on a runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+        .block_on(future)
+}
