--- a/bin/agent/src/packets.rs
+++ b/bin/agent/src/packets.rs
@@ -220,12 +220,8 @@
     }
 
     fn other(&mut self, action: Action) {
-        match action {
-            Action::Notify { to, flows } => self.notify(to, flows),
-            Action::Discard(flow) => {
-                self.tasks.remove(&flow);
-            }
-            _ => {}
+        if let Action::Notify { to, flows } = action {
+            self.notify(to, flows);
         }
     }
 
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -79,8 +79,6 @@
         /// Flows, at most `wire::MAX_NOTICE_FLOWS`.
         flows: Vec<Flow>,
     },
-    /// End a connection without a packet: another agent completed the handshake.
-    Discard(Flow),
 }
 
 /// Reason for dropping a packet or notice; the name is the metric's name.
@@ -97,6 +95,8 @@
     OtherAddress,
     /// Unknown flow shortly after a start or a table change.
     Unsettled,
+    /// First packet of an unknown flow; a notice about it may be on its way.
+    Stray,
     /// RST of an unknown flow.
     StrayReset,
 }
--- a/crates/flows/src/flows.rs
+++ b/crates/flows/src/flows.rs
@@ -13,7 +13,8 @@
 use crate::held::Held;
 use crate::loads::Loads;
 use crate::redirects::Redirects;
-use crate::registry::Registry;
+use crate::registry::Repeats;
+use crate::strays::Strays;
 use crate::{Action, Event, FlowsSettings};
 
 /// Service of this agent.
@@ -45,7 +46,8 @@
     pub(crate) held: HashMap<Flow, Held>,
     pub(crate) redirects: Redirects,
     pub(crate) loads: Loads,
-    pub(crate) registry: Registry,
+    pub(crate) repeats: Repeats,
+    pub(crate) strays: Strays,
 }
 
 impl Flows {
@@ -62,7 +64,8 @@
             held: HashMap::new(),
             redirects: Redirects::new(settings.redirects, settings.redirect_ttl),
             loads: Loads::new(settings.load_ttl),
-            registry: Registry::default(),
+            repeats: Repeats::new(),
+            strays: Strays::new(settings.strays, settings.stray),
             settings,
         }
     }
@@ -86,7 +89,7 @@
             }
             Event::Accepting(accepting) => self.accepting = accepting,
             Event::Table { table, changed } => self.table(now, table, changed, out),
-            Event::Notice(notice) => self.notice(now, notice, out),
+            Event::Notice(notice) => self.notice(now, notice),
             Event::Load { member, open } => self.loads.set(member, open, now),
             Event::Tick => self.repeat(now, out),
         }
@@ -136,25 +139,21 @@
         self.redirects.retain(|owner| members.contains_key(owner));
         self.loads.retain(|member| members.contains_key(member));
         self.ranker = Some(Ranker::new(table));
-        self.register(now, out);
+        self.register_moved(now, out);
     }
 
-    fn notice(&mut self, now: Instant, notice: &Notice, out: &mut Vec<Action>) {
+    fn notice(&mut self, now: Instant, notice: &Notice) {
         let ours = self.service.is_some_and(|s| s.id == notice.service);
         if !ours || notice.owner == self.me || !self.members.contains_key(&notice.owner) {
             return;
         }
         self.loads.set(notice.owner, notice.open, now);
         for flow in &notice.flows {
-            match self.held.get(flow) {
-                Some(held) if held.established => continue,
-                Some(_) => {
-                    self.held.remove(flow);
-                    out.push(Action::Discard(*flow));
-                }
-                None => {}
+            // A half-open flow stays until its handshake times out: the owner may be half-open too,
+            // and the sequence numbers tell their packets apart.
+            if !self.held.get(flow).is_some_and(|held| held.established) {
+                self.redirects.put(*flow, notice.owner, now);
             }
-            self.redirects.put(*flow, notice.owner, now);
         }
     }
 }
--- a/crates/flows/src/held.rs
+++ b/crates/flows/src/held.rs
@@ -15,6 +15,9 @@
     pub(crate) established: bool,
     /// First choice that was told, if that is another agent.
     pub(crate) registered: Option<Candidate>,
+    /// Next repeat of the registration; `None` once a packet showed that the agent knows.
+    pub(crate) due: Option<Instant>,
+    pub(crate) repeats: u8,
     notified: [Option<(Candidate, Instant)>; RELAYS],
 }
 
@@ -24,6 +27,8 @@
             initial_seq: None,
             established: false,
             registered: None,
+            due: None,
+            repeats: 0,
             notified: [None; RELAYS],
         }
     }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -11,7 +11,8 @@
 //! marks the packet with epoch 0, so that a wrong redirect costs one hop
 //! instead of the flow, and two wrong ones can't form a loop. A SYN that every
 //! candidate declined makes one more pass in which overload is no reason to
-//! decline; only then it is refused.
+//! decline, and agents add members of their own tables to its list, which
+//! may be newer than the balancer's; only then it is refused.
 
 mod event;
 mod flows;
@@ -21,6 +22,7 @@
 mod registry;
 mod rules;
 mod settings;
+mod strays;
 
 pub use event::{Action, DropReason, Event};
 pub use flows::Flows;
--- a/crates/flows/src/registry.rs
+++ b/crates/flows/src/registry.rs
@@ -1,9 +1,13 @@
 //! Tells the first choices of held flows who owns them.
 //!
-//! Notices travel in datagrams that may be lost, so each registration is
-//! repeated while unknown flows are still dropped instead of reset.
+//! Notices travel in datagrams that may be lost, or arrive before the table
+//! that names their owner, so each registration is repeated until a packet
+//! shows that the first choice sends the flow straight here. Half-open flows
+//! are registered too: their first acknowledgement may come through a balancer
+//! whose table does not lead here.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -12,73 +16,89 @@
 
 use crate::{Action, Flows};
 
-/// Repeats after a table change; all fall into the time in which unknown flows are dropped.
-const REPEATS: [Duration; 3] = [
-    Duration::from_millis(500),
-    Duration::from_secs(2),
-    Duration::from_secs(5),
-];
+/// Wait before the first repeat; doubles with each one. Five repeats fall into
+/// the time in which unknown flows are dropped instead of reset.
+const FIRST_WAIT: Duration = Duration::from_millis(250);
 
-/// Flows registered by the last table change, and the times of the repeats.
-#[derive(Debug, Default)]
-pub(crate) struct Registry {
-    flows: Vec<Flow>,
-    due: Vec<Instant>,
-}
+/// Doublings until the longest wait of 64 s; idle flows may stay unconfirmed for long.
+const MAX_DOUBLINGS: u8 = 8;
+
+/// Registrations to repeat, by time; stale entries differ from the due time of their flow.
+pub(crate) type Repeats = BinaryHeap<Reverse<(Instant, Flow)>>;
+
+/// Flows to tell each agent about, in the order of addresses.
+type Lists = BTreeMap<(std::net::SocketAddrV4, u64), (Candidate, Vec<Flow>)>;
 
 impl Flows {
-    /// Registers flows whose first choice moved.
-    pub(crate) fn register(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let Some(ranker) = &self.ranker else { return };
-        let mut moved = Vec::new();
-        for (flow, held) in self.held.iter_mut().filter(|(_, held)| held.established) {
-            let first = ranker
-                .first(flow.hash())
-                .map(|index| ranker.members()[index].candidate)
-                .filter(|first| *first != self.me);
-            if first.is_some() && first != held.registered {
-                moved.push(*flow);
-            }
-            held.registered = first;
-        }
+    /// Registers every flow whose first choice moved.
+    pub(crate) fn register_moved(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut moved: Vec<Flow> = self
+            .held
+            .iter()
+            .filter(|(flow, held)| self.first_elsewhere(flow) != held.registered)
+            .map(|(flow, _)| *flow)
+            .collect();
         // The map's order is random.
         moved.sort_unstable();
-        self.registry = Registry {
-            due: REPEATS.iter().rev().map(|wait| now + *wait).collect(),
-            flows: moved,
-        };
-        self.announce(out);
+        self.register(now, moved, out);
+    }
+
+    /// Registers flows with their first choices.
+    pub(crate) fn register(&mut self, now: Instant, flows: Vec<Flow>, out: &mut Vec<Action>) {
+        let mut lists = Lists::new();
+        for flow in flows {
+            let first = self.first_elsewhere(&flow);
+            if let Some(held) = self.held.get_mut(&flow) {
+                held.registered = first;
+                held.repeats = 0;
+                held.due = first.map(|_| now + FIRST_WAIT);
+            }
+            if let Some(first) = first {
+                self.repeats.push(Reverse((now + FIRST_WAIT, flow)));
+                add(&mut lists, first, flow);
+            }
+        }
+        notify(lists, out);
     }
 
     /// Repeats the registrations that are due.
     pub(crate) fn repeat(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let mut due = false;
-        while self.registry.due.last().is_some_and(|at| *at <= now) {
-            self.registry.due.pop();
-            due = true;
-        }
-        if due {
-            self.announce(out);
-        }
-        if self.registry.due.is_empty() {
-            self.registry.flows = Vec::new();
+        let mut lists = Lists::new();
+        while let Some(Reverse((due, flow))) = self.repeats.peek().copied()
+            && due <= now
+        {
+            self.repeats.pop();
+            let Some(held) = self.held.get_mut(&flow).filter(|h| h.due == Some(due)) else {
+                continue;
+            };
+            let Some(to) = held.registered else { continue };
+            held.repeats = (held.repeats + 1).min(MAX_DOUBLINGS);
+            let next = now + FIRST_WAIT * (1 << held.repeats);
+            held.due = Some(next);
+            self.repeats.push(Reverse((next, flow)));
+            add(&mut lists, to, flow);
         }
+        notify(lists, out);
     }
 
-    fn announce(&self, out: &mut Vec<Action>) {
-        let mut lists: BTreeMap<_, (Candidate, Vec<Flow>)> = BTreeMap::new();
-        for flow in &self.registry.flows {
-            let registered = self.held.get(flow).and_then(|held| held.registered);
-            if let Some(to) = registered {
-                let key = (to.address, to.incarnation);
-                lists.entry(key).or_insert((to, Vec::new())).1.push(*flow);
-            }
-        }
-        for (to, flows) in lists.into_values() {
-            for part in flows.chunks(MAX_NOTICE_FLOWS) {
-                let flows = part.to_vec();
-                out.push(Action::Notify { to, flows });
-            }
+    /// First choice of a flow by the current table, if that is another agent.
+    fn first_elsewhere(&self, flow: &Flow) -> Option<Candidate> {
+        let ranker = self.ranker.as_ref()?;
+        let first = ranker.first(flow.hash())?;
+        Some(ranker.members()[first].candidate).filter(|first| *first != self.me)
+    }
+}
+
+fn add(lists: &mut Lists, to: Candidate, flow: Flow) {
+    let key = (to.address, to.incarnation.0);
+    lists.entry(key).or_insert((to, Vec::new())).1.push(flow);
+}
+
+fn notify(lists: Lists, out: &mut Vec<Action>) {
+    for (to, flows) in lists.into_values() {
+        for part in flows.chunks(MAX_NOTICE_FLOWS) {
+            let flows = part.to_vec();
+            out.push(Action::Notify { to, flows });
         }
     }
 }
--- a/crates/flows/src/rules.rs
+++ b/crates/flows/src/rules.rs
@@ -1,5 +1,6 @@
 //! Rules for packets.
 
+use steering::Ranker;
 use tokio::time::Instant;
 use units::Epoch;
 use wire::{Candidate, Candidates, Flags, Header, Segment};
@@ -45,6 +46,9 @@
             && held.fits(segment)
         {
             out.push(Action::Process);
+            if informed(header) && held.registered == header.candidates.first().copied() {
+                held.due = None;
+            }
             let interval = self.settings.notice;
             if let Some(to) = relay(header)
                 && held.established
@@ -68,12 +72,24 @@
         } else if segment.rst {
             Action::Drop(DropReason::StrayReset)
         } else if now < self.settled || self.held.contains_key(&flow) {
-            // A flow that is half-open here may be established at an agent beyond the list.
-            Action::Drop(DropReason::Unsettled)
-        } else {
+            // The notice about the flow may be lost, and a flow that is half-open here may be
+            // established elsewhere: members beyond the list are asked before the packet is dropped.
+            let header = self.extended(header, segment);
+            if has_next(&header) {
+                next(&header, header.flags)
+            } else {
+                Action::Drop(DropReason::Unsettled)
+            }
+        } else if self.strays.is_lost(flow, now) {
             Action::Reset
+        } else {
+            Action::Drop(DropReason::Stray)
         };
+        let accepted = action == Action::Accept;
         out.push(action);
+        if accepted {
+            self.register(now, vec![flow], out);
+        }
     }
 
     fn check(&self, header: &Header, segment: &Segment) -> Result<Service, DropReason> {
@@ -111,17 +127,41 @@
         let free = self.accepting && self.held.len() < service.limit;
         if free && (flags == ACCEPT_ANYWAY || !self.passes_on(now, header)) {
             self.redirects.remove(&segment.flow);
+            self.strays.remove(&segment.flow);
             self.held.insert(segment.flow, Held::new());
             Action::Accept
+        } else if flags == ACCEPT_ANYWAY {
+            let header = self.extended(header, segment);
+            if has_next(&header) {
+                next(&header, flags)
+            } else {
+                Action::Reset
+            }
         } else if has_next(header) {
             next(header, flags)
-        } else if flags == ACCEPT_ANYWAY {
-            Action::Reset
         } else {
             first(header, ACCEPT_ANYWAY)
         }
     }
 
+    /// Header with a member that the list lacks, while there is room: the table of the balancer or
+    /// of the agents before may be older than the one here.
+    fn extended(&self, header: &Header, segment: &Segment) -> Header {
+        let members = self.ranker.as_ref().map_or(&[][..], Ranker::members);
+        // Spreads such flows over the members.
+        let start = segment.flow.hash() as usize % members.len().max(1);
+        let mut others = members[start..].iter().chain(&members[..start]);
+        let lacking = others.find(|m| !header.candidates.contains(&m.candidate));
+        let mut candidates = header.candidates;
+        if let Some(member) = lacking {
+            candidates.push(member.candidate);
+        }
+        Header {
+            candidates,
+            ..*header
+        }
+    }
+
     /// Whether the first choice leaves a SYN to the second one because of its load.
     fn passes_on(&mut self, now: Instant, header: &Header) -> bool {
         let Some(second) = header.candidates.get(1).filter(|_| header.hop == 0) else {
@@ -145,12 +185,16 @@
 
 /// Agent that sends packets of a flow here without knowing that it is held here.
 fn relay(header: &Header) -> Option<Candidate> {
-    let informed = header.epoch == REDIRECTED && header.hop == 1;
-    (header.hop > 0 && !informed)
+    (header.hop > 0 && !informed(header))
         .then(|| header.candidates.first().copied())
         .flatten()
 }
 
+/// Whether the first candidate sent the packet straight here.
+fn informed(header: &Header) -> bool {
+    header.epoch == REDIRECTED && header.hop == 1
+}
+
 fn has_next(header: &Header) -> bool {
     usize::from(header.hop) + 1 < header.candidates.len()
 }
--- a/crates/flows/src/settings.rs
+++ b/crates/flows/src/settings.rs
@@ -8,6 +8,11 @@
     /// Time after a start or a table change in which packets of unknown flows are dropped;
     /// later they are answered with RST.
     pub settle: Duration,
+    /// Time for which a flow must be unknown before its packets are answered with RST;
+    /// a notice overtaken by the first packet arrives within it.
+    pub stray: Duration,
+    /// Unknown flows remembered for that.
+    pub strays: usize,
     /// Shortest time between two notices about a flow to the same relay.
     pub notice: Duration,
     /// Redirects kept.
@@ -22,6 +27,8 @@
     fn default() -> Self {
         Self {
             settle: Duration::from_secs(10),
+            stray: Duration::from_millis(200),
+            strays: 65_536,
             notice: Duration::from_secs(1),
             redirects: 65_536,
             redirect_ttl: Duration::from_secs(120),
