--- /dev/null
+++ b/bin/agent/tests/rig/control.rs
@@ -0,0 +1,169 @@
+//! Stand-in for control: one replica, tables straight from heartbeats.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use api::{
+    BurnBatch, BurnReply, Heartbeat, HeartbeatReply, Member, MemberState, Order, ServiceView,
+    Table, TableUpdate, Watch, WatchReply,
+};
+use dropshot::{
+    ApiDescription, Body, ConfigDropshot, HttpError, HttpServer, RequestContext, ServerBuilder,
+    UntypedBody, endpoint,
+};
+use http::{Response, StatusCode};
+use rpc::{Key, Request};
+use units::{Epoch, HostName, Incarnation, Millis, Version};
+
+#[derive(Debug)]
+pub struct State {
+    pub key: Key,
+    pub view: ServiceView,
+    pub members: BTreeMap<(HostName, Incarnation), Member>,
+    pub epoch: u64,
+    pub order: Order,
+    pub burns: Vec<BurnBatch>,
+    /// Burn batches to refuse.
+    pub refuse: usize,
+}
+
+pub struct Control {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+    _server: HttpServer<Arc<Mutex<State>>>,
+}
+
+type Context = RequestContext<Arc<Mutex<State>>>;
+type Sealed = Result<Response<Body>, HttpError>;
+
+#[endpoint { method = POST, path = "/v1/heartbeat", request_body_max_bytes = 65536 }]
+async fn heartbeat(context: Context, body: UntypedBody) -> Sealed {
+    let mut state = context.context().lock().expect("a lock");
+    let key = state.key.clone();
+    let request = Request::<Heartbeat>::open(&key, api::path::HEARTBEAT, &body)?;
+    let beat = &request.message;
+    let id = (beat.host.clone(), beat.incarnation);
+    let before = state.members.get(&id).cloned();
+    match &beat.backend {
+        Some(backend) if !beat.leaving && backend.state.is_some() => {
+            let member = Member {
+                host: beat.host.clone(),
+                incarnation: beat.incarnation,
+                packets: backend.packets,
+                http: backend.http,
+                centre: beat.centre.clone(),
+                slots: backend.slots,
+                weight: backend.weight,
+                state: backend.state.unwrap_or(MemberState::Draining),
+            };
+            state.members.insert(id.clone(), member);
+        }
+        _ => {
+            state.members.remove(&id);
+        }
+    }
+    if state.members.get(&id) != before.as_ref() {
+        state.epoch += 1;
+    }
+    let reply = HeartbeatReply {
+        order: state.order,
+        lease_ms: Millis(4000),
+        config: Version(1),
+        known: true,
+    };
+    request.reply(&key, &reply)
+}
+
+#[endpoint { method = POST, path = "/v1/watch", request_body_max_bytes = 65536 }]
+async fn watch(context: Context, body: UntypedBody) -> Sealed {
+    let key = context.context().lock().expect("a lock").key.clone();
+    let request = Request::<Watch>::open(&key, api::path::WATCH, &body)?;
+    let held = request.message.held.first().map_or(0, |held| held.epoch.0);
+    for _ in 0..request.message.wait_ms.0 / 20 {
+        let newer = newer(context.context(), request.message.config, held);
+        if let Some(reply) = newer {
+            return request.reply(&key, &reply);
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let config = Version(1);
+    let nothing = WatchReply {
+        config,
+        ..WatchReply::default()
+    };
+    request.reply(&key, &nothing)
+}
+
+fn newer(state: &Mutex<State>, config: Version, held: u64) -> Option<WatchReply> {
+    let state = state.lock().expect("a lock");
+    let mut reply = WatchReply {
+        config: Version(1),
+        ..WatchReply::default()
+    };
+    if config < reply.config {
+        reply.services = vec![state.view.clone()];
+    }
+    if state.epoch > held {
+        reply.tables = vec![TableUpdate::Snapshot(Table {
+            service: state.view.id,
+            epoch: Epoch(state.epoch),
+            changed: Millis(0),
+            members: state.members.values().cloned().collect(),
+        })];
+    }
+    (!reply.services.is_empty() || !reply.tables.is_empty()).then_some(reply)
+}
+
+#[endpoint { method = POST, path = "/v1/burn", request_body_max_bytes = 65536 }]
+async fn burn(context: Context, body: UntypedBody) -> Sealed {
+    let mut state = context.context().lock().expect("a lock");
+    let key = state.key.clone();
+    let request = Request::<BurnBatch>::open(&key, api::path::BURN, &body)?;
+    state.burns.push(request.message.clone());
+    if state.refuse > 0 {
+        state.refuse -= 1;
+        return rpc::refuse(StatusCode::SERVICE_UNAVAILABLE, "no quorum");
+    }
+    let number = request.message.number;
+    request.reply(&key, &BurnReply { number })
+}
+
+impl Control {
+    pub fn start(key: Key, view: ServiceView) -> Self {
+        let state = Arc::new(Mutex::new(State {
+            key,
+            view,
+            members: BTreeMap::new(),
+            epoch: 0,
+            order: Order::Serve,
+            burns: Vec::new(),
+            refuse: 0,
+        }));
+        let mut description = ApiDescription::new();
+        description.register(heartbeat).expect("an endpoint");
+        description.register(watch).expect("an endpoint");
+        description.register(burn).expect("an endpoint");
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let server = ServerBuilder::new(description, Arc::clone(&state), log)
+            .config(ConfigDropshot {
+                bind_address: "127.0.0.1:0".parse().expect("an address"),
+                ..ConfigDropshot::default()
+            })
+            .start()
+            .expect("a server");
+        Self {
+            address: server.local_addr(),
+            state,
+            _server: server,
+        }
+    }
+
+    /// Member states by incarnation.
+    pub fn states(&self) -> Vec<(u64, MemberState)> {
+        let state = self.state.lock().expect("a lock");
+        let entry = |m: &Member| (m.incarnation.0, m.state);
+        state.members.values().map(entry).collect()
+    }
+}
