--- a/bin/load/src/caller/http.rs
+++ b/bin/load/src/caller/http.rs
@@ -100,6 +100,7 @@
     sender: SendRequest<Full<Bytes>>,
     flow: Flow,
     end: JoinHandle<FlowEnd>,
+    reason: String,
 }
 
 impl HttpFlow {
@@ -115,6 +116,7 @@
             sender,
             flow: stream.flow,
             end: stream.end,
+            reason: String::new(),
         })
     }
 
@@ -124,6 +126,12 @@
         self.flow
     }
 
+    /// Text of the newest answer that was not a success.
+    #[must_use]
+    pub fn reason(&self) -> &str {
+        &self.reason
+    }
+
     /// Whether the connection can take another request.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -151,7 +159,11 @@
         let Ok(body) = body.collect().await else {
             return Outcome::Truncated;
         };
-        judge(ask, head.status, &head.headers, &body.to_bytes())
+        let body = body.to_bytes();
+        if !head.status.is_success() {
+            self.reason = String::from_utf8_lossy(&body).trim().to_owned();
+        }
+        judge(ask, head.status, &head.headers, &body)
     }
 
     /// Reads a board of numbered lines; returns how many came in order, and the outcome.
--- a/bin/load/src/command/demo.rs
+++ b/bin/load/src/command/demo.rs
@@ -4,10 +4,11 @@
 //! fabric, `drain HOST RECORD` says that a planned change of a backend server
 //! was announced just now, `end` ends the run.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -49,6 +50,8 @@
     ledger: Arc<Ledger>,
     /// Connections that ended before they were asked to.
     broken: Arc<AtomicU64>,
+    /// Refusals by their text.
+    reasons: Arc<Mutex<BTreeMap<String, u64>>>,
     stop: Arc<AtomicBool>,
     tasks: JoinSet<()>,
 }
@@ -135,12 +138,14 @@
     let mut requests = Requests {
         ledger: Arc::default(),
         broken: Arc::default(),
+        reasons: Arc::default(),
         stop: Arc::default(),
         tasks: JoinSet::new(),
     };
     for number in 0..count {
         let (caller, ledger) = (caller.clone(), Arc::clone(&requests.ledger));
         let (broken, stop) = (Arc::clone(&requests.broken), Arc::clone(&requests.stop));
+        let reasons = Arc::clone(&requests.reasons);
         requests.tasks.spawn(async move {
             let mut flow = HttpFlow::open(&caller, service).await;
             let mut turn = 0;
@@ -150,6 +155,10 @@
                 let (outcome, _) = open.ask(&ask).await;
                 ledger.add(&ask, outcome);
                 turn += 1;
+                if !matches!(outcome, Outcome::Complete | Outcome::Broken | Outcome::Late) {
+                    let mut reasons = reasons.lock().unwrap_or_else(PoisonError::into_inner);
+                    *reasons.entry(open.reason().to_owned()).or_default() += 1;
+                }
                 if !open.is_open() || matches!(outcome, Outcome::Broken | Outcome::Late) {
                     broken.fetch_add(1, Ordering::Relaxed);
                     flow = HttpFlow::open(&caller, service).await;
@@ -219,6 +228,7 @@
     let verdict = judge(&requests.ledger.lines(), &entries);
     let broken = requests.broken.load(Ordering::Relaxed);
     println!("requests: {:?}", verdict.counts);
+    print_reasons(&requests.reasons);
     println!(
         "requests: {} wrong, {} run though refused, {} repeated, {} answered but not begun",
         verdict.wrong.len(),
@@ -241,3 +251,10 @@
     let complete = verdict.counts.get(&Outcome::Complete).copied().unwrap_or(0);
     Ok(verdict.is_clean() && broken == 0 && late == 0 && complete > 0)
 }
+
+fn print_reasons(reasons: &Mutex<BTreeMap<String, u64>>) {
+    let reasons = reasons.lock().unwrap_or_else(PoisonError::into_inner);
+    for (reason, count) in reasons.iter() {
+        println!("refused {count} times: {reason}");
+    }
+}
