Let requests of a leaving agent wait at its siblings

Small fix in requests and api: siblings refused a relayed request when they had no free slot, on the ground that it could wait where it came from. The relay says that it comes from a leaving agent, and the sibling's own queue bounds it. A repeat with pauses at the leaving agent was ruled out: it adds calls at the worst time.

--- a/crates/api/src/relay.rs
+++ b/crates/api/src/relay.rs
@@ -20,6 +20,9 @@
     pub uri: Box<str>,
     /// Headers in order.
     pub headers: Vec<(Box<str>, Box<str>)>,
+    /// Comes from an agent that is leaving: it may wait, since it can't wait there.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// Load of an agent as siblings see it.
--- a/crates/requests/src/relay.rs
+++ b/crates/requests/src/relay.rs
@@ -154,6 +154,7 @@
             method: call.method.as_str().into(),
             uri: call.target.clone(),
             headers: headers.collect(),
+            leaving: shared.is_draining(),
         },
         body: Binary(body),
     };
@@ -239,16 +240,20 @@
     if shared.is_draining() {
         return Err(refuse("the sibling is leaving"));
     }
+    let leaving = head.leaving;
     let call = accept(shared, head, &body)?;
     let class = {
         let now = Instant::now().into_std();
         let state = shared.lock();
         let class = state.classes.find(&call.class.name);
         let class = class.ok_or_else(|| refuse("the sibling does not know the class"))?;
-        // A request that only waits here could as well wait where it came from.
+        // A request that only waits here could as well wait where it came from,
+        // unless that agent is leaving.
         let short_queue = state.admission.waiting() < usize::from(state.admission.slots(now));
-        let takes =
-            state.admission.is_free(now, class) || short_queue || call.class.tier == Tier::Critical;
+        let takes = leaving
+            || state.admission.is_free(now, class)
+            || short_queue
+            || call.class.tier == Tier::Critical;
         if !takes || !state.health.is_healthy() {
             return Err(refuse("the sibling has no free slot"));
         }
--- a/crates/requests/tests/suite/relays.rs
+++ b/crates/requests/tests/suite/relays.rs
@@ -22,6 +22,7 @@
         method: "GET".into(),
         uri: "/read?relayed=1".into(),
         headers: vec![("host".into(), "a".into())],
+        leaving: false,
     }
 }
 
@@ -118,6 +119,20 @@
     assert!(matches!(answer, RelayAnswer::Response { status: 200, .. }));
 }
 
+/// Guards against a burst at a leaving agent that is refused although its
+/// siblings could queue it.
+#[tokio::test]
+async fn relays_of_a_leaving_agent_may_wait() {
+    let all = Agents::start(2).await;
+    tokio::time::sleep(POLLED).await;
+    all.agents[0].handler().drain();
+    let address = all.agents[0].caller;
+    let calls: tokio::task::JoinSet<_> = (0..16)
+        .map(|_| async move { once(address, "GET /read?delay=30", "", "").await.status })
+        .collect();
+    assert_eq!(calls.join_all().await, [200; 16]);
+}
+
 /// Guards against a cut or late response of a sibling that passes as complete
 /// or as not run.
 #[tokio::test]
