--- a/bin/load/src/command/capacity.rs
+++ b/bin/load/src/command/capacity.rs
@@ -14,6 +14,7 @@
 pub async fn run(flags: Capacity, allocated: fn() -> usize) -> Result<ExitCode, LoadError> {
     let options = Options {
         divisor: flags.divisor.unwrap_or(1).max(1),
+        allocated,
     };
     // Other tasks of this program would add to the processor time of a shared thread.
     let measured = tokio::task::spawn_blocking(move || {
