Adapt the tests of control and agent to the log index; bound keys by measured size

Cause: the tests named epochs in polls; and a remembered key takes 251 bytes (load capacity), not 120, so that the default bound of 1,000,000 keys was 250 MB where an agent may use 128 MB. Change: polls by index, with the same cases; at most 262,144 keys, 66 MB.

--- a/bin/agent/tests/rig/control.rs
+++ b/bin/agent/tests/rig/control.rs
@@ -80,7 +80,8 @@
 async fn watch(context: Context, body: UntypedBody) -> Sealed {
     let key = context.context().lock().expect("a lock").key.clone();
     let request = Request::<Watch>::open(&key, api::path::WATCH, &body)?;
-    let held = request.message.held.first().map_or(0, |held| held.epoch.0);
+    // This fake counts its epochs as log indexes.
+    let held = request.message.index;
     for _ in 0..request.message.wait_ms.0 / 20 {
         let newer = newer(context.context(), request.message.config, held);
         if let Some(reply) = newer {
@@ -91,6 +92,7 @@
     let config = Version(1);
     let nothing = WatchReply {
         config,
+        index: held,
         ..WatchReply::default()
     };
     request.reply(&key, &nothing)
@@ -100,6 +102,7 @@
     let state = state.lock().expect("a lock");
     let mut reply = WatchReply {
         config: Version(1),
+        index: state.epoch,
         ..WatchReply::default()
     };
     if config < reply.config {
--- a/bin/control/tests/all/harness.rs
+++ b/bin/control/tests/all/harness.rs
@@ -195,14 +195,14 @@
     }
 }
 
-/// Long poll of a node that holds a configuration version and no table.
+/// Long poll of a node that holds a configuration version and no tables.
 pub fn poll(config: u64, wait_ms: u64) -> Watch {
     Watch {
         host: "n".parse().unwrap(),
         scope: Scope::Region(Default::default()),
         config: Version(config),
         horizon: Millis(0),
-        held: Vec::new(),
+        index: 0,
         wait_ms: Millis(wait_ms),
     }
 }
--- a/bin/control/tests/all/nodes.rs
+++ b/bin/control/tests/all/nodes.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use api::{
-    Announcement, Bucket, BurnBatch, BurnReply, Counts, Heartbeat, HeartbeatReply, Held,
-    MemberState, Report, Role, Status, TableUpdate, Watch, WatchReply, path,
+    Announcement, Bucket, BurnBatch, BurnReply, Counts, Heartbeat, HeartbeatReply, MemberState,
+    Report, Role, Status, TableUpdate, Watch, WatchReply, path,
 };
 use rpc::{Client, Key, RpcError};
 use units::{Epoch, Incarnation, Slots, Version, Weight};
@@ -157,12 +157,7 @@
         let reply = ask(&client, &group, &poll(0, 0)).await;
         assert_eq!(reply.config, Version(2));
         let mut watch = poll(2, 3_000);
-        let (id, epoch) = (reply.services[0].id, Epoch(1));
-        watch.held.push(Held {
-            service: id,
-            epoch,
-            key_sets: 0,
-        });
+        watch.index = reply.index;
         let reply = ask(&client, &group, &watch).await;
         assert_eq!(reply.tables.len(), 1, "{reply:?}");
         let old = send(&client, &group, &agent("a", 4, serving)).await;
@@ -191,20 +186,19 @@
             let body = serde_json::json!({ "profile": { "name": "q", "warmup_ms": version } });
             assert_eq!(operator.put(expected, body).await.0, 200);
         }
-        let held = |epoch| Held {
-            service: table.service,
-            epoch,
-            key_sets: 0,
-        };
+        let held = first.index;
+        let mut newest = ask(&client, &group, &poll(302, 0)).await.index;
         for epoch in 1..=20 {
             let state = [None, Some(MemberState::Serving)][epoch as usize % 2];
             send(&client, &group, &agent("a", 5, state)).await.unwrap();
             let mut watch = poll(302, 5_000);
-            watch.held.push(held(Epoch(epoch)));
-            assert_eq!(ask(&client, &group, &watch).await.tables.len(), 1);
+            watch.index = newest;
+            let reply = ask(&client, &group, &watch).await;
+            assert_eq!(reply.tables.len(), 1);
+            newest = reply.index;
         }
         let mut watch = poll(2, 0);
-        watch.held.push(held(table.epoch));
+        watch.index = held;
         let reply = ask(&client, &group, &watch).await;
         assert_eq!(reply.config, Version(302));
         assert!(table.apply(&reply.tables[0]));
@@ -212,11 +206,7 @@
         // Held and newer than held: nothing comes, above all nothing older.
         for config in [302, 400] {
             watch.config = Version(config);
-            watch.held = vec![Held {
-                service: table.service,
-                epoch: Epoch(table.epoch.0 + config - 302),
-                key_sets: 0,
-            }];
+            watch.index = newest + config - 302;
             let reply = ask(&client, &group, &watch).await;
             assert_eq!((reply.config, reply.tables.len()), (Version(config), 0));
         }
--- a/crates/idempotency/src/replica.rs
+++ b/crates/idempotency/src/replica.rs
@@ -13,7 +13,7 @@
 /// Memory bounds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReplicaLimits {
-    /// Keys; at 120 bytes a key the default is about 120 MB.
+    /// Keys; at 250 bytes a key the default takes about 66 MB.
     pub keys: usize,
     /// Bytes of kept answers.
     pub answers: usize,
@@ -22,7 +22,7 @@
 impl Default for ReplicaLimits {
     fn default() -> Self {
         Self {
-            keys: 1_000_000,
+            keys: 1 << 18,
             answers: 64 << 20,
         }
     }
