Give the agent's tests ports that nobody else takes

Cause: with mechanisms switched off, unrelated tests failed now and then: ports chosen by the system were taken again before the agent bound them. Change: ports below the system's range, checked for TCP and UDP, by a counter per test process.

--- a/bin/agent/tests/agent.rs
+++ b/bin/agent/tests/agent.rs
@@ -2,11 +2,12 @@
 
 mod rig;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use api::{MemberState, Order};
 use netstack::FlowEnd;
-use rig::{LIMIT, Rig, command, echo, finish, header, key, until};
+use rig::{LIMIT, Rig, command, echo, finish, free_port, header, key, until};
 use rpc::Key;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -175,8 +176,8 @@
 /// one failed probe that takes it out.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_backend_server_is_drained() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let backend = listener.local_addr().expect("an address");
+    let backend = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let listener = TcpListener::bind(backend).await.expect("a port");
     let rig = Rig::with_backend(tcp(), backend).await;
     let agent = rig.agent(1).await;
     until("serving", || {
--- a/bin/agent/tests/rig/mod.rs
+++ b/bin/agent/tests/rig/mod.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -47,9 +48,18 @@
     }
 }
 
-fn free_port() -> u16 {
-    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
-    socket.local_addr().expect("an address").port()
+/// Port below those that the system gives out by itself, free for TCP and UDP.
+pub fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = std::process::id() as u16 % 90 * 100;
+    loop {
+        let port = 20_000 + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % 9_000;
+        let udp = std::net::UdpSocket::bind(("127.0.0.1", port));
+        let tcp = std::net::TcpListener::bind(("127.0.0.1", port));
+        if udp.is_ok() && tcp.is_ok() {
+            return port;
+        }
+    }
 }
 
 pub struct Agent {
