--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -102,6 +102,7 @@
             self.take_snapshot();
             self.update();
         }
+        self.refuse_waiting();
         self.peers.retain(|_| false);
         self.done.close();
         self.disk.stop().await;
@@ -112,6 +113,23 @@
         }
     }
 
+    /// Refuses what was not taken before the stop; none of it was proposed.
+    fn refuse_waiting(&mut self) {
+        self.inputs.close();
+        while let Ok(input) = self.inputs.try_recv() {
+            let reason = "the replica has stopped".into();
+            let refused = ProposeError::Refused { reason };
+            match input {
+                Input::Propose(_, reply) => drop(reply.send(Err(refused))),
+                Input::Confirm(reply) | Input::Change(_, reply) | Input::Transfer(reply) => {
+                    drop(reply.send(Err(refused)));
+                }
+                // The sender sees that the replica is gone.
+                Input::Wire(..) | Input::Stop(_) => {}
+            }
+        }
+    }
+
     /// Handles a request and those that wait behind it.
     fn take(&mut self, first: Input) {
         let mut batch = Batch::default();
