--- a/bin/load/src/backend/record.rs
+++ b/bin/load/src/backend/record.rs
@@ -46,6 +46,8 @@
 pub struct Summary {
     /// Connections accepted.
     pub connections: u64,
+    /// Bytes received by the echo.
+    pub bytes: u64,
     /// Requests begun.
     pub begun: u64,
     /// Requests whose work was finished.
@@ -117,6 +119,10 @@
         });
     }
 
+    pub(super) fn echoed(&self, bytes: usize) {
+        self.with(|inner| inner.summary.bytes += bytes as u64);
+    }
+
     pub(super) fn shed(&self) {
         self.with(|inner| inner.summary.shed += 1);
     }
--- a/bin/load/src/backend/tcp.rs
+++ b/bin/load/src/backend/tcp.rs
@@ -16,6 +16,7 @@
         if size == 0 {
             break;
         }
+        shared.record.echoed(size);
         if stream.write_all(&buf[..size]).await.is_err() {
             return;
         }
