Add routes to the RPC client and the tests of P1

Small change in rpc, control, balancer and agent: a setting routes names the address to connect to for a peer that can't be reached directly, so that a fault proxy can stand between any two processes; control wants equal peer lists, and a reference to the leader went past proxies.

--- a/bin/agent/src/settings.rs
+++ b/bin/agent/src/settings.rs
@@ -44,6 +44,9 @@
     /// Start of this agent; Unix ms at the start if left out.
     #[serde(default)]
     pub incarnation: Option<Incarnation>,
+    /// Ways to addresses of other processes that can't be reached directly.
+    #[serde(default)]
+    pub routes: Vec<rpc::Route>,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
--- a/bin/balancer/src/settings.rs
+++ b/bin/balancer/src/settings.rs
@@ -43,6 +43,9 @@
     /// Longest time for which packets are still sent on after a stop request.
     #[serde(default = "default_linger")]
     pub linger_ms: Millis,
+    /// Ways to addresses of other processes that can't be reached directly.
+    #[serde(default)]
+    pub routes: Vec<rpc::Route>,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
--- a/bin/control/src/run.rs
+++ b/bin/control/src/run.rs
@@ -64,7 +64,7 @@
     let started = Replica::start(
         node.settings.replica(),
         node.machine(),
-        Client::new(key),
+        Client::new(key).with_routes(&node.settings.routes),
         log.clone(),
     );
     let replica = tokio::select! {
--- a/bin/control/src/settings.rs
+++ b/bin/control/src/settings.rs
@@ -37,6 +37,9 @@
     /// Join a group that exists already.
     #[serde(default)]
     pub join: bool,
+    /// Ways to addresses of other processes that can't be reached directly.
+    #[serde(default)]
+    pub routes: Vec<rpc::Route>,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -1,14 +1,15 @@
 //! HTTP client with kept-alive connections.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::{Key, RpcError};
 
@@ -21,11 +22,22 @@
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Way to an address that can't be reached directly, such as one behind a translation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Address as others know it.
+    pub to: SocketAddr,
+    /// Address to connect to instead.
+    pub via: SocketAddr,
+}
+
 /// Client of the system's own HTTP interfaces.
 #[derive(Debug, Clone)]
 pub struct Client {
     http: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
     key: Key,
+    routes: Arc<[Route]>,
 }
 
 impl Client {
@@ -38,7 +50,20 @@
         let http = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build(connector);
-        Self { http, key }
+        Self {
+            http,
+            key,
+            routes: Arc::default(),
+        }
+    }
+
+    /// Same client that connects to some peers at other addresses.
+    #[must_use]
+    pub fn with_routes(self, routes: &[Route]) -> Self {
+        Self {
+            routes: routes.into(),
+            ..self
+        }
     }
 
     /// Sends a sealed message and waits for the sealed answer.
@@ -83,7 +108,9 @@
         let body = rmp_serde::to_vec_named(message).map_err(|e| invalid(e.to_string()))?;
         let sealed = self.key.seal(path, &[], body);
         let tag = sealed[sealed.len() - crate::TAG_BYTES..].to_vec();
-        let request = http::Request::post(format!("http://{peer}{path}"))
+        let route = self.routes.iter().find(|route| route.to == peer);
+        let address = route.map_or(peer, |route| route.via);
+        let request = http::Request::post(format!("http://{address}{path}"))
             .header(http::header::CONTENT_TYPE, "application/octet-stream")
             .body(Full::new(Bytes::from(sealed)))
             .map_err(|e| invalid(e.to_string()))?;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -10,7 +10,7 @@
 mod key;
 mod server;
 
-pub use client::Client;
+pub use client::{Client, Route};
 pub use error::RpcError;
 pub use key::{Key, KeyError, TAG_BYTES, Tag};
 pub use server::{Request, plain, refuse};
--- a/tests/e2e/src/cluster.rs
+++ b/tests/e2e/src/cluster.rs
@@ -83,6 +83,8 @@
     pub packets: SocketAddrV4,
     /// Address of the HTTP interface.
     pub http: SocketAddrV4,
+    /// Between agent and each control replica.
+    pub control: Vec<TcpProxy>,
 }
 
 /// A control replica.
@@ -219,16 +221,20 @@
         for id in ids {
             let peers: Vec<_> = addresses
                 .iter()
-                .map(|(to, address)| {
-                    let link = self.links.get(&(id, *to)).map(TcpProxy::address);
-                    json!({"id": to, "address": link.unwrap_or((*address).into())})
+                .map(|(to, address)| json!({"id": to, "address": address}))
+                .collect();
+            let routes: Vec<_> = addresses
+                .iter()
+                .filter_map(|(to, address)| {
+                    let link = self.links.get(&(id, *to))?;
+                    Some(json!({"to": address, "via": link.address()}))
                 })
                 .collect();
             let host = format!("control-{id}");
             let settings = json!({
                 "id": id, "host": host, "centre": "dc-1", "region": 0,
                 "listen": addresses[&id], "folder": self.path().join(&host),
-                "key_file": self.key_file(), "peers": peers, "join": false
+                "key_file": self.key_file(), "peers": peers, "join": false, "routes": routes
             });
             let process = Process::start(self.path(), "control", &host, &settings);
             let node = ControlNode {
@@ -265,6 +271,18 @@
         self.controls.values().map(|c| c.address.into()).collect()
     }
 
+    /// Proxies of one node to the control replicas, and its routes through them.
+    async fn control_proxies(&self, seed: u64) -> (Vec<TcpProxy>, Vec<Value>) {
+        let (mut proxies, mut routes) = (Vec::new(), Vec::new());
+        for address in self.control_addresses() {
+            let proxy = TcpProxy::start(any(), address, Plan::default(), seed).await;
+            let proxy = proxy.expect("a free port");
+            routes.push(json!({"to": address, "via": proxy.address()}));
+            proxies.push(proxy);
+        }
+        (proxies, routes)
+    }
+
     fn key_file(&self) -> PathBuf {
         self.path().join("key.hex")
     }
@@ -277,16 +295,12 @@
         self.next += 1;
         let host = format!("balancer-{}", self.next);
         let seed = self.shape.seed + self.next as u64;
-        let mut control = Vec::new();
-        for address in self.control_addresses() {
-            let proxy = TcpProxy::start(any(), address, Plan::default(), seed).await;
-            control.push(proxy.expect("a free port"));
-        }
-        let addresses: Vec<_> = control.iter().map(TcpProxy::address).collect();
+        let (control, routes) = self.control_proxies(seed).await;
         let packets = ports::free();
         let settings = json!({
             "host": host, "centre": "dc-1", "region": 0, "packets": packets,
-            "control": addresses, "key_file": self.key_file(), "linger_ms": 500
+            "control": self.control_addresses(), "key_file": self.key_file(),
+            "linger_ms": 500, "routes": routes
         });
         let process = Process::start(self.path(), "balancer", &host, &settings);
         process.ready().await;
@@ -342,11 +356,13 @@
             self.backends.insert(host.into(), backend);
         }
         let http = ports::free();
+        let (control, routes) = self.control_proxies(self.shape.seed).await;
         let settings = json!({
             "host": host, "centre": "dc-1", "region": 0, "service": service,
             "packets": packets, "http": http, "fabric": self.answers.address(),
             "backend": self.backends[host].address(), "slots": self.shape.slots,
-            "weight": 100, "control": self.control_addresses(), "key_file": self.key_file()
+            "weight": 100, "control": self.control_addresses(), "key_file": self.key_file(),
+            "routes": routes
         });
         let process = Process::start(self.path(), "agent", host, &settings);
         process.ready().await;
@@ -356,6 +372,7 @@
             process,
             packets,
             http,
+            control,
         });
         self.agents.len() - 1
     }
--- a/tests/e2e/src/lib.rs
+++ b/tests/e2e/src/lib.rs
@@ -48,8 +48,11 @@
     }
 }
 
-/// One test of a file at a time: several clusters at once take the time that deadlines allow.
-pub async fn alone() -> tokio::sync::MutexGuard<'static, ()> {
-    static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
-    TURN.lock().await
+/// Two tests of a file at a time: more clusters at once take the time that deadlines allow.
+///
+/// # Panics
+/// Never: the semaphore is not closed.
+pub async fn turn() -> tokio::sync::SemaphorePermit<'static> {
+    static TURNS: tokio::sync::Semaphore = tokio::sync::Semaphore::const_new(2);
+    TURNS.acquire().await.expect("never closed")
 }
--- a/tests/e2e/tests/p1_flows.rs
+++ b/tests/e2e/tests/p1_flows.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use e2e::traffic::{all_kept, echo_flows};
-use e2e::{Cluster, Shape, alone};
+use e2e::{Cluster, Shape, turn};
 use faults::Plan;
 use nix::sys::signal::Signal;
 
@@ -14,7 +14,7 @@
 /// balancers that need state: the fabric sprays every packet to any of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_survive_balancers_that_come_and_go() {
-    let _turn = alone().await;
+    let _turn = turn().await;
     let mut cluster = Cluster::start(Shape {
         echo: 3,
         ..Shape::default()
@@ -44,7 +44,7 @@
 /// restarts of agents and profile changes, with a balancer that joins after each one.
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_survive_table_and_profile_changes() {
-    let _turn = alone().await;
+    let _turn = turn().await;
     let mut cluster = Cluster::start(Shape {
         echo: 3,
         ..Shape::default()
@@ -84,7 +84,7 @@
 /// Guards against flows that depend on control: they outlive a stop of the leader and of all.
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_survive_control() {
-    let _turn = alone().await;
+    let _turn = turn().await;
     let mut cluster = Cluster::start(Shape {
         echo: 3,
         ..Shape::default()
@@ -108,7 +108,7 @@
 /// the table changes and the control leader is lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn flows_survive_changes_over_bad_links() {
-    let _turn = alone().await;
+    let _turn = turn().await;
     let bad = Plan {
         loss: 0.01,
         duplicate: 0.02,
