--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -254,7 +254,7 @@
     // another one is refused with the advice to try again.
     let deadline = Instant::now() + Duration::from_secs(5);
     loop {
-        match replica.remove(peer.clone()).await {
+        match replica.remove(peer).await {
             Err(ProposeError::Refused { reason }) if Instant::now() < deadline => {
                 assert!(reason.contains("try again"), "{reason}");
                 tokio::time::sleep(Duration::from_millis(20)).await;
