--- a/crates/storage/tests/full.rs
+++ b/crates/storage/tests/full.rs
@@ -27,6 +27,7 @@
     setrlimit(Resource::RLIMIT_FSIZE, 2000, hard).expect("limit");
     let mut synced = 0;
     let error = loop {
+        assert!(synced < 100, "100 records of 115 bytes fit into 2000 bytes");
         store.append((1, 1, synced + 1), &[7; 90]).expect("append");
         match store.sync() {
             Ok(()) => synced += 1,
