Publish a replica's status before the answers that it covers

Cause: lost_disk_is_repaired_under_a_new_id reported the last acknowledged command as lost under load. The entry was there: the test compares replicas up to the leader's commit index, and the status was published after the answer. Change: the status is published before the answers. Ruled out: a lost entry, since the failure always concerned the last command and the cut-off index.

--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -371,8 +371,11 @@
                 }
             }
             Done::Applied(entries) => {
+                let last = entries.iter().map(|entry| entry.index).max();
+                self.progress.applied = last.unwrap_or(self.progress.applied);
+                // A proposer that reads the status after its answer must find its entry in it.
+                self.update();
                 for entry in entries {
-                    self.progress.applied = entry.index;
                     self.progress.waiters.applied(entry);
                 }
                 self.progress.waiters.release(self.progress.applied);
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -266,3 +266,22 @@
     group.check(&known).await;
     assert_eq!(group.status(leader).peers.len(), 2);
 }
+
+/// Guards against a status that lags behind an answer: whoever compares replicas by the leader's
+/// commit index would miss acknowledged entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_includes_what_was_answered() {
+    let group = Group::three(settings()).await;
+    let leader = group.leader().await;
+    let replica = group.replica(leader).expect("running");
+    replica.propose(b"first".to_vec()).await.expect("commit");
+    let first = replica.status().applied;
+    for number in 1..=500 {
+        replica.propose(b"next".to_vec()).await.expect("commit");
+        let status = replica.status();
+        assert!(
+            status.applied >= first + number && status.commit >= first + number,
+            "{status:?}"
+        );
+    }
+}
