Make the stop test wait for a real long poll

The poll was refused at once, since nothing led yet, so the test passed with the mechanism off. It now declares first and polls for a region without services.

--- a/bin/control/tests/all/start.rs
+++ b/bin/control/tests/all/start.rs
@@ -4,7 +4,10 @@
 use std::process::Command;
 use std::time::Duration;
 
+use api::{Scope, Watch};
+
 use crate::harness::{Group, block_on, poll, run};
+use crate::nodes::Operator;
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_control"))
@@ -94,10 +97,14 @@
 #[test]
 fn stops_end_long_polls() {
     let mut group = Group::start(program(), 1);
+    block_on(Operator::new(&group, 0).declare());
     let (client, peer) = (group.client(), group.addresses[0]);
     let waiting = std::thread::spawn(move || {
         block_on(async {
-            let poll = poll(0, 10_000);
+            let poll = Watch {
+                scope: Scope::Region(9.into()),
+                ..poll(2, 10_000)
+            };
             let limit = Duration::from_secs(10);
             client
                 .post::<_, api::WatchReply>(peer, api::path::WATCH, &poll, limit)
@@ -105,6 +112,7 @@
         })
     });
     std::thread::sleep(Duration::from_millis(300));
+    assert!(!waiting.is_finished());
     let took = group.stop(0);
     assert!(took < Duration::from_secs(3), "{took:?}");
     assert!(waiting.join().unwrap().is_err());
