--- a/crates/flows/tests/rules.rs
+++ b/crates/flows/tests/rules.rs
@@ -427,3 +427,18 @@
     // What moves again is told again.
     assert!(count(&rig.table(3, &[0, 1, 2, 3]), 3) > 40);
 }
+
+/// Guards against a handshake whose last packet comes through a balancer with another table.
+#[test]
+fn flow_of_another_first_choice_is_registered_at_once() {
+    let mut rig = Rig::new(&[0, 1]);
+    let mut told = 0;
+    for port in 0..100 {
+        let out = rig.all(header(0, &[0, 1], NONE), syn(flow(port)));
+        let (to, flows) = (agent(1), vec![flow(port)]);
+        assert_eq!(out[0], Action::Accept);
+        assert!(out[1..].is_empty() || out[1] == Action::Notify { to, flows });
+        told += out.len() - 1;
+    }
+    assert!((30..70).contains(&told), "half of the flows are expected");
+}
