--- a/tests/e2e/src/operator.rs
+++ b/tests/e2e/src/operator.rs
@@ -34,6 +34,17 @@
     Lost,
 }
 
+impl std::fmt::Display for Answer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Status(status, body) => {
+                write!(f, "status {status}: {}", String::from_utf8_lossy(body))
+            }
+            other => write!(f, "{other:?}"),
+        }
+    }
+}
+
 /// An operator of a deployment.
 #[derive(Debug, Clone)]
 pub struct Operator {
--- a/tests/e2e/tests/p8_changes.rs
+++ b/tests/e2e/tests/p8_changes.rs
@@ -1,4 +1,5 @@
 //! P8: an accepted profile change is in force everywhere within 5 s and never reverts.
+#![expect(clippy::unwrap_used, reason = "helpers of tests fail by panicking")]
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 use e2e::operator::{Answer, Operator};
 use e2e::{Cluster, LIMIT, Shape, eventually, turn};
 use faults::Plan;
+use load::backend::unix_ms;
 use profile::Declaration;
 use reqwest::Method;
 use tokio::task::JoinSet;
@@ -98,11 +100,13 @@
         }
     }
     let operator = cluster.operator.clone();
+    let (stop, stopped) = tokio::sync::watch::channel(false);
     let watch = tokio::spawn(async move {
+        let mut over = false;
         let mut newest: BTreeMap<String, u64> = BTreeMap::new();
         let mut seen = 0;
-        let end = Instant::now() + Duration::from_secs(9);
-        while Instant::now() < end {
+        // Looks once more after the last change.
+        while !std::mem::replace(&mut over, *stopped.borrow()) {
             if let Some(status) = operator.status().await {
                 for node in status.nodes {
                     let held = newest.entry(node.host.to_string()).or_default();
@@ -132,6 +136,7 @@
         cluster.pause(500).await;
         queue += 1;
     }
+    stop.send_replace(true);
     let (seen, newest) = watch.await.unwrap();
     assert!(seen > 100, "{seen} statuses");
     let version = cluster.operator.status().await.unwrap().config.0;
@@ -175,7 +180,7 @@
         let mut profile = self.profile.clone();
         profile.concurrency.queue = u32::try_from(value).unwrap();
         let body = Declaration::Profile(profile);
-        let key = format!("key-{value}");
+        let key = format!("{}-{value}", unix_ms());
         let start = self.now();
         let (answer, reply) = self
             .operator
@@ -196,6 +201,9 @@
             }
             // Not the leader, or not accepted: nothing happened.
             (Answer::Undelivered | Answer::Status(421, _), _) => {}
+            (Answer::Status(status, body), _) if (400..500).contains(&status) => {
+                panic!("{status}: {}", String::from_utf8_lossy(&body));
+            }
             _ => self.record(start, u64::MAX, kind(Put::Unknown)),
         }
     }
@@ -229,13 +237,11 @@
             ops: Arc::clone(&ops),
         };
         clients.spawn(async move {
-            let mut held = version;
             for turn in 0..40 {
                 if client.ops.lock().unwrap().len() + 3 >= MAX_OPS {
                     return;
                 }
-                if let Some(newer) = client.read().await {
-                    held = newer;
+                if let Some(held) = client.read().await {
                     client.put(held, 1_000 + number * 100 + turn).await;
                 }
                 tokio::time::sleep(Duration::from_millis(170)).await;
@@ -305,16 +311,20 @@
     profile.concurrency.queue = 77;
     let body = Declaration::Profile(profile.clone());
     let operator = &cluster.operator;
-    let (_, first) = operator
-        .put(peer, body.clone(), stored.version, "same")
+    let same = format!("{}-same", unix_ms());
+    let (answer, first) = operator
+        .put(peer, body.clone(), stored.version, &same)
         .await;
-    let (_, second) = operator.put(peer, body, stored.version, "same").await;
+    assert!(first.is_some(), "{answer}");
+    let (_, second) = operator.put(peer, body, stored.version, &same).await;
     let (first, second) = (first.unwrap(), second.unwrap());
     assert_eq!(first.version, second.version);
     assert!(!first.repeated && second.repeated);
     profile.concurrency.queue = 78;
     let other = Declaration::Profile(profile);
-    let (answer, reply) = operator.put(peer, other, stored.version, "other").await;
+    let (answer, reply) = operator
+        .put(peer, other, stored.version, &format!("{}-other", unix_ms()))
+        .await;
     assert!(
         matches!(answer, Answer::Status(409, _)) && reply.is_none(),
         "{answer:?}"
