--- /dev/null
+++ b/crates/netstack/examples/cost.rs
@@ -0,0 +1,96 @@
+//! Cost and memory of connections: `cost [COUNT]...`, in release mode.
+//!
+//! Prints for each number of open connections the time of a new one, of a
+//! data packet with its answer, and the resident memory of one.
+
+use std::hint::black_box;
+use std::time::Instant as Clock;
+
+use netstack::{Connection, StackSettings};
+use tokio::time::Instant;
+use units::Flow;
+
+/// Data packets measured in total.
+const PACKETS: usize = 200_000;
+
+/// Resident memory in bytes, from the second field of `statm` in pages of 4 KiB.
+fn resident() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|text| text.parse().ok());
+    pages.unwrap_or(0) * 4096
+}
+
+fn flow(number: usize) -> Flow {
+    let (high, low) = (number / 50_000, number % 50_000);
+    let caller = std::net::Ipv4Addr::new(10, 0, 1, high as u8);
+    Flow {
+        caller: std::net::SocketAddrV4::new(caller, low as u16 + 1024),
+        service: std::net::SocketAddrV4::new(std::net::Ipv4Addr::new(10, 9, 0, 1), 80),
+    }
+}
+
+/// Passes packets between both sides until neither has any; returns their number.
+fn settle(now: Instant, a: &mut Connection, b: &mut Connection) -> usize {
+    let mut total = 0;
+    loop {
+        let (mut from_a, mut from_b) = (Vec::new(), Vec::new());
+        a.poll(now, &mut from_a);
+        b.poll(now, &mut from_b);
+        if from_a.is_empty() && from_b.is_empty() {
+            return total;
+        }
+        total += from_a.len() + from_b.len();
+        from_a.iter().for_each(|packet| b.receive(now, packet));
+        from_b.iter().for_each(|packet| a.receive(now, packet));
+    }
+}
+
+fn measure(count: usize) {
+    let settings = StackSettings::default();
+    let now = Instant::now();
+    let before = resident();
+    let start = Clock::now();
+    let mut pairs: Vec<(Connection, Connection)> = (0..count)
+        .map(|number| {
+            let seed = number as u64;
+            let mut caller = Connection::connect(&settings, flow(number), now, seed);
+            let mut service = Connection::accept(&settings, flow(number), now, !seed);
+            settle(now, &mut caller, &mut service);
+            (caller, service)
+        })
+        .collect();
+    let open = start.elapsed() / count as u32;
+    let idle = (resident() - before) / count / 2;
+
+    let body = [1; 1000];
+    let mut buffer = [0; 2000];
+    let mut packets = 0;
+    let start = Clock::now();
+    while packets < PACKETS {
+        for (caller, service) in &mut pairs {
+            caller.write(&body);
+            packets += settle(now, caller, service);
+            black_box(service.read(&mut buffer));
+            service.write(&body);
+            packets += settle(now, service, caller);
+            black_box(caller.read(&mut buffer));
+        }
+    }
+    let packet = start.elapsed() / packets as u32;
+    let used = (resident() - before) / count / 2;
+    println!(
+        "{count:>7} pairs: {open:>9.2?} to open a pair, {packet:>9.2?} a packet, \
+         {idle} bytes resident a side when idle, {used} after use"
+    );
+}
+
+fn main() {
+    let counts: Vec<usize> = std::env::args().skip(1).flat_map(|a| a.parse()).collect();
+    let counts = if counts.is_empty() {
+        vec![100, 1_000, 10_000]
+    } else {
+        counts
+    };
+    counts.into_iter().for_each(measure);
+    println!("Connection: {} bytes", size_of::<Connection>());
+}
