Bound a node's polls under bursts; measure the cost per subscriber

Cause: each change answered every poll at once, about 1.3 KB each, so that a burst of more than two changes a second exceeded 3 KB/s per node; and the cost of a node at a control replica was not known.

--- a/bin/load/src/cli.rs
+++ b/bin/load/src/cli.rs
@@ -28,6 +28,17 @@
             /// Exit after this many seconds; 600 if left out.
             optional --seconds seconds: u64
         }
+        /// Nodes that send heartbeats and poll control.
+        cmd subscribers {
+            /// Control leader.
+            required --control control: SocketAddr
+            /// Key file.
+            required --key key: PathBuf
+            /// Nodes, at most 4000.
+            required --nodes nodes: usize
+            /// Seconds, at most 120; 10 if left out.
+            optional --seconds seconds: u64
+        }
         /// Measures the slopes of the capacity page.
         cmd capacity {
             /// Divides the largest sizes; 1 if left out.
--- a/bin/load/src/command/mod.rs
+++ b/bin/load/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod fabric;
 mod proxy;
+mod subscribers;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -23,6 +24,7 @@
     let runtime = tokio::runtime::Runtime::new().map_err(LoadError::io("start the runtime"))?;
     runtime.block_on(async {
         match flags.subcommand {
+            LoadCmd::Subscribers(flags) => subscribers::run(flags).await,
             LoadCmd::Capacity(flags) => capacity::run(flags, allocated).await,
             LoadCmd::Backend(flags) => backend::run(flags).await,
             LoadCmd::Fabric(flags) => fabric::run(flags).await,
--- a/crates/capacity/src/message.rs
+++ b/crates/capacity/src/message.rs
@@ -1,8 +1,8 @@
 //! Bytes of the control messages, with their HTTP heads.
 
 use api::{
-    Announcement, Heartbeat, HeartbeatReply, MemberState, Order, Role, Scope, TableDelta,
-    TableUpdate,
+    Announcement, Heartbeat, HeartbeatReply, MemberState, Order, Role, Scope, SiblingLoad,
+    TableDelta, TableUpdate,
 };
 use api::{Watch, WatchReply};
 use serde::Serialize;
@@ -35,7 +35,13 @@
 }
 
 pub(crate) fn slopes(options: Options) -> Result<Vec<Slope>, MeasureError> {
-    let mut slopes = vec![heartbeats()?, watch_idle()?, deltas(options)?];
+    let mut slopes = vec![
+        heartbeats()?,
+        watch_idle()?,
+        load_polls()?,
+        profiles(options)?,
+        deltas(options)?,
+    ];
     slopes.push(snapshots(options)?);
     Ok(slopes)
 }
@@ -110,6 +116,37 @@
     ))
 }
 
+fn load_polls() -> Result<Slope, MeasureError> {
+    let one = exchange(encoded(&())?, encoded(&SiblingLoad::default())?);
+    let points = [1, 10, 100, 1_000].map(|count| (f64::from(count), f64::from(count) * one));
+    Ok(Slope::new(
+        "agent",
+        "load poll bytes",
+        "poll of a sibling",
+        "B",
+        points.to_vec(),
+    ))
+}
+
+fn profiles(options: Options) -> Result<Slope, MeasureError> {
+    let mut points = Vec::new();
+    for services in fixture::sizes(1, 4, options.divisor) {
+        let services = (0..services).map(fixture::view).collect();
+        let reply = WatchReply {
+            services,
+            ..WatchReply::default()
+        };
+        points.push((reply.services.len() as f64, encoded(&reply)? as f64));
+    }
+    Ok(Slope::new(
+        "control",
+        "profile change bytes",
+        "service of the profile",
+        "B",
+        points,
+    ))
+}
+
 fn deltas(options: Options) -> Result<Slope, MeasureError> {
     let mut points = Vec::new();
     for changes in fixture::sizes(1, 4, options.divisor) {
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -7,7 +7,7 @@
 use rpc::{Client, RpcError};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use units::Millis;
 
 use crate::peers::Peers;
@@ -22,6 +22,10 @@
 /// Shortest time between two answers that changed nothing.
 const IDLE: Duration = Duration::from_millis(100);
 
+/// Shortest time between two polls. Changes that come faster share an answer, so that a burst of them
+/// stays below 3 KB/s per node.
+const PACE: Duration = Duration::from_millis(500);
+
 pub(crate) async fn run(
     settings: Arc<WatcherSettings>,
     client: Client,
@@ -62,6 +66,7 @@
                     if std::mem::take(&mut first) {
                         info!(log, "first tables received"; "config" => reply.config.0);
                     }
+                    sleep_until(start + PACE).await;
                 } else if start.elapsed() < IDLE {
                     sleep(IDLE).await;
                 }
