replica: refuse requests that wait when the replica stops

A command sent right after stop() could enter the queue and then got the outcome unknown although it was never accepted; seen as a failure of leader_hands_over_before_a_planned_stop on a busy machine. The queue is now closed and its rest refused.

Two tests raced on a busy machine. The check of all entries read the status, which is published after the answer; it now takes the last applied entry of any replica, which is stricter. The removal of a member repeats while the promotion before it is not committed, which the interface documents as refused.

--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -102,6 +102,12 @@
             self.take_snapshot();
             self.update();
         }
+        // Requests that still wait were never accepted.
+        self.inputs.close();
+        while let Ok(input) = self.inputs.try_recv() {
+            let reason = "the replica has stopped".into();
+            input.refuse(ProposeError::Refused { reason });
+        }
         self.peers.retain(|_| false);
         self.done.close();
         self.disk.stop().await;
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -250,7 +250,13 @@
         id: group.status(gone).id,
         address: group.nodes[gone].address,
     };
-    replica.remove(peer).await.expect("remove");
+    // The promotion takes effect before it is committed; until then the next change is refused.
+    let end = tokio::time::Instant::now() + group::LIMIT;
+    while let Err(error) = replica.remove(peer).await {
+        let refused = matches!(error, ProposeError::Refused { .. });
+        assert!(refused && tokio::time::Instant::now() < end, "{error}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     group.kill(gone);
     group.check(&known).await;
     assert_eq!(group.status(leader).peers.len(), 2);
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -285,7 +285,12 @@
     /// Waits until the running replicas have the same entries, and checks that
     /// every command is among them.
     pub async fn check(&self, commands: &[String]) {
-        let last = self.status(self.leader().await).commit;
+        let entries = |n: &Node| n.entries.lock().expect("entries").clone();
+        let ends = self
+            .nodes
+            .iter()
+            .map(|n| entries(n).last_key_value().map_or(0, |(i, _)| *i));
+        let last = ends.max().unwrap_or(0);
         let running = |n: &usize| self.nodes[*n].runtime.is_some();
         let nodes: Vec<_> = (0..self.nodes.len()).filter(running).collect();
         self.until("all entries", |g| {
