Name the measurements apart

Cause: both examples were built as target/release/examples/cost, so that one replaced the other. Change: renamed to connections and ownership.

--- a/crates/flows/examples/cost.rs
+++ b/crates/flows/examples/ownership.rs
@@ -1,4 +1,4 @@
-//! Cost of the ownership rules: `cost [FLOWS]...`, in release mode.
+//! Cost of the ownership rules: `ownership [FLOWS]...`, in release mode.
 
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/netstack/examples/cost.rs
+++ b/crates/netstack/examples/connections.rs
@@ -1,4 +1,4 @@
-//! Cost and memory of connections: `cost [COUNT]...`, in release mode.
+//! Cost and memory of connections: `connections [COUNT]...`, in release mode.
 //!
 //! Prints for each number of open connections the time of a new one, of a
 //! data packet with its answer, and the resident memory of one.
