Measure a running agent by open flows

Cause: cost of flows in the built agent was unknown. Change: an example runs the built agent between the stand-ins of the tests and reads its processor time and memory from /proc.

--- a/bin/agent/tests/rig/mod.rs
+++ b/bin/agent/tests/rig/mod.rs
@@ -69,9 +69,12 @@
 }
 
 impl Agent {
+    pub fn pid(&self) -> u32 {
+        self.child.id().expect("a running agent")
+    }
+
     pub fn signal(&self) {
-        let pid = self.child.id().expect("a running agent");
-        let pid = Pid::from_raw(i32::try_from(pid).expect("a pid"));
+        let pid = Pid::from_raw(i32::try_from(self.pid()).expect("a pid"));
         kill(pid, Signal::SIGTERM).expect("a signal");
     }
 
@@ -245,8 +248,19 @@
     }
 }
 
+/// The agent built for the tests, or the one beside the running example.
+fn binary() -> PathBuf {
+    option_env!("CARGO_BIN_EXE_agent").map_or_else(
+        || {
+            let example = std::env::current_exe().expect("a path");
+            example.parent().expect("a folder").with_file_name("agent")
+        },
+        PathBuf::from,
+    )
+}
+
 pub fn command(settings: &Path) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_agent"));
+    let mut command = Command::new(binary());
     command
         .arg("--settings")
         .arg(settings)
