--- a/bin/load/src/backend/record.rs
+++ b/bin/load/src/backend/record.rs
@@ -46,6 +46,8 @@
 pub struct Summary {
     /// Connections accepted.
     pub connections: u64,
+    /// Bytes received by the echo.
+    pub bytes: u64,
     /// Requests begun.
     pub begun: u64,
     /// Requests whose work was finished.
@@ -72,7 +74,9 @@
 #[derive(Debug, Default)]
 pub struct Record(Mutex<Inner>);
 
-pub(super) fn unix_ms() -> u64 {
+/// Unix time in ms.
+#[must_use]
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |span| {
         u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
@@ -115,6 +119,10 @@
         });
     }
 
+    pub(super) fn echoed(&self, bytes: usize) {
+        self.with(|inner| inner.summary.bytes += bytes as u64);
+    }
+
     pub(super) fn shed(&self) {
         self.with(|inner| inner.summary.shed += 1);
     }
