--- a/bin/load/src/cli.rs
+++ b/bin/load/src/cli.rs
@@ -28,6 +28,25 @@
             /// Exit after this many seconds; 600 if left out.
             optional --seconds seconds: u64
         }
+        /// Packets a second through one balancer.
+        cmd packets {
+            /// Control leader.
+            required --control control: SocketAddr
+            /// Balancer.
+            required --balancer balancer: SocketAddr
+            /// Key file.
+            required --key key: PathBuf
+            /// Service.
+            required --service service: String
+            /// Address of the service.
+            required --address address: SocketAddrV4
+            /// Flows; 1000 if left out.
+            optional --flows flows: usize
+            /// Packets a second; as many as possible if left out.
+            optional --rate rate: u64
+            /// Seconds, at most 60; 5 if left out.
+            optional --seconds seconds: u64
+        }
         /// Nodes that send heartbeats and poll control.
         cmd subscribers {
             /// Control leader.
--- a/bin/load/src/command/mod.rs
+++ b/bin/load/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod demo;
 mod fabric;
+mod packets;
 mod proxy;
 mod subscribers;
 
@@ -25,6 +26,7 @@
     runtime.block_on(async {
         match flags.subcommand {
             LoadCmd::Subscribers(flags) => subscribers::run(flags).await,
+            LoadCmd::Packets(flags) => packets::run(flags).await,
             LoadCmd::Capacity(flags) => capacity::run(flags, allocated).await,
             LoadCmd::Backend(flags) => backend::run(flags).await,
             LoadCmd::Fabric(flags) => fabric::run(flags).await,
