Give queued requests away when an agent drains

The limit for callers that accept no byte is now a setting, so that it can be tested; 30 s as before.

The immediate refusal of a sibling is covered by the test of the library only.

--- a/crates/requests/src/forward.rs
+++ b/crates/requests/src/forward.rs
@@ -40,8 +40,10 @@
 pub(crate) enum Failed {
     /// Certainly not begun; the body can be sent again.
     NotBegun(Upload, Refusal),
-    /// It may have begun.
-    Begun(Refusal),
+    /// Not begun: the agent began to drain while the request waited.
+    Draining(Upload),
+    /// Nothing more can be done; the refusal says what is known.
+    Final(Refusal),
     /// It may have begun, but is idempotent and failed before any byte of a response.
     Again(Upload, Refusal),
 }
@@ -189,7 +191,11 @@
                 Err(failed) => failed,
             };
             let (again, refusal) = match failed {
-                Failed::Begun(refusal) => return Err(refusal),
+                Failed::Final(refusal) => return Err(refusal),
+                Failed::Draining(waited) => {
+                    body = waited;
+                    continue;
+                }
                 Failed::NotBegun(body, refusal) | Failed::Again(body, refusal) => (body, refusal),
             };
             number += 1;
@@ -263,12 +269,12 @@
         let class = shared.lock().classes.find(&self.call.class.name);
         let Some(class) = class else {
             let refusal = Refusal::not_run("the class was retired", UNAVAILABLE);
-            return Err(Failed::Begun(refusal));
+            return Err(Failed::Final(refusal));
+        };
+        let Some(admitted) = shared.admit(class, self.call.deadline).await else {
+            return Err(Failed::Draining(body));
         };
-        let slot = shared
-            .admit(class, self.call.deadline)
-            .await
-            .map_err(|refused| Failed::Begun(not_admitted(refused)))?;
+        let slot = admitted.map_err(|refused| Failed::Final(not_admitted(refused)))?;
         self.exchange(shared, body, Some(slot)).await
     }
 
@@ -298,7 +304,7 @@
             Err(error) => {
                 let status = StatusCode::BAD_REQUEST;
                 let refusal = Refusal::new(status, Outcome::NotRun, error.to_string());
-                return Err(Failed::Begun(refusal));
+                return Err(Failed::Final(refusal));
             }
         };
         if let Some(holding) = &mut self.holding {
@@ -306,7 +312,7 @@
         }
         let sent = timeout_at(self.call.deadline, connection.send(request)).await;
         let response = match sent {
-            Err(_) => return Err(Failed::Begun(Refusal::timed_out())),
+            Err(_) => return Err(Failed::Final(Refusal::timed_out())),
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent(body))) => {
                 if let Some(holding) = &mut self.holding {
@@ -318,7 +324,7 @@
             Ok(Err(SendError::Broken)) => {
                 if oversized.load(Ordering::Relaxed) {
                     let limit = self.call.class.limit.0;
-                    return Err(Failed::Begun(too_large(limit, Outcome::Unknown)));
+                    return Err(Failed::Final(too_large(limit, Outcome::Unknown)));
                 }
                 shed(shared, &mut slot);
                 let refusal = Refusal::unknown("the backend server closed the connection");
@@ -326,11 +332,11 @@
                     Some(bytes) if self.call.class.idempotent => {
                         Failed::Again(Upload::full(bytes), refusal)
                     }
-                    _ => Failed::Begun(refusal),
+                    _ => Failed::Final(refusal),
                 });
             }
         };
-        check_response(&response, id, &self.call.method).map_err(Failed::Begun)?;
+        check_response(&response, id, &self.call.method).map_err(Failed::Final)?;
         let (mut head, stream) = response.into_parts();
         headers::clean_response(&mut head.headers);
         let head = Response::from_parts(head, ());
@@ -376,7 +382,8 @@
                 }
                 Ok(response)
             }
-            Err(Failed::NotBegun(_, r) | Failed::Begun(r) | Failed::Again(_, r)) => Err(r),
+            Err(Failed::NotBegun(_, r) | Failed::Final(r) | Failed::Again(_, r)) => Err(r),
+            Err(Failed::Draining(_)) => Err(unreachable_backend()),
         }
     }
 }
--- a/crates/requests/src/handler.rs
+++ b/crates/requests/src/handler.rs
@@ -48,6 +48,8 @@
     pub seed: u64,
     /// Longest time from the first byte of a request head to its end.
     pub head_timeout: Duration,
+    /// Longest time for which a caller may accept no byte of a response.
+    pub write_timeout: Duration,
     /// Longest wait for the replicas of a key.
     pub claim_timeout: Duration,
     /// Largest request head in bytes.
@@ -66,6 +68,7 @@
             slots: Slots(2),
             seed: 0,
             head_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(30),
             claim_timeout: Duration::from_millis(500),
             max_head: 16 << 10,
         }
@@ -107,7 +110,7 @@
         T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let settings = &self.shared.settings;
-        let watch = Watch::new(settings.max_head, settings.head_timeout);
+        let watch = Watch::new(settings);
         let io = TokioIo::new(Watched::new(io, watch.clone()));
         let service = service_fn(|request| {
             let (shared, watch) = (Arc::clone(&self.shared), watch.clone());
--- a/crates/requests/src/relay.rs
+++ b/crates/requests/src/relay.rs
@@ -269,6 +269,7 @@
     let slot = shared
         .admit(class, call.deadline)
         .await
+        .ok_or_else(|| refuse("the sibling is leaving"))?
         .map_err(not_admitted)?;
     let deadline = call.deadline;
     let mut run = Run {
@@ -279,7 +280,8 @@
     let exchanged = run.exchange(shared, Upload::full(body), Some(slot)).await;
     let response = match exchanged {
         Ok(response) => response,
-        Err(Failed::NotBegun(_, r) | Failed::Begun(r) | Failed::Again(_, r)) => return Err(r),
+        Err(Failed::NotBegun(_, r) | Failed::Final(r) | Failed::Again(_, r)) => return Err(r),
+        Err(Failed::Draining(_)) => return Err(refuse("the sibling is leaving")),
     };
     let (head, body) = response.into_parts();
     let body = match timeout_at(deadline, body.collect(MAX_RELAY_ANSWER)).await {
--- a/crates/requests/src/shared.rs
+++ b/crates/requests/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use rand::rngs::SmallRng;
 use rpc::{Client, Key};
 use slog::Logger;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::HandlerSettings;
@@ -59,7 +59,7 @@
     config: Mutex<Option<Arc<Config>>>,
     state: Mutex<State>,
     wake: Notify,
-    draining: AtomicBool,
+    draining: watch::Sender<bool>,
     ids: AtomicU64,
     streams: AtomicUsize,
 }
@@ -105,7 +105,7 @@
             config: Mutex::default(),
             state: Mutex::new(state),
             wake: Notify::new(),
-            draining: AtomicBool::new(false),
+            draining: watch::Sender::new(false),
             ids: AtomicU64::new(1),
             streams: AtomicUsize::new(0),
         });
@@ -148,11 +148,11 @@
     }
 
     pub(crate) fn set_draining(&self, draining: bool) {
-        self.draining.store(draining, Ordering::Release);
+        self.draining.send_replace(draining);
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        *self.draining.borrow()
     }
 
     /// Id of an exchange, unique within this process.
@@ -202,11 +202,25 @@
         self.streams.load(Ordering::Acquire)
     }
 
-    /// Waits for a slot.
+    /// Waits for a slot; `None` if the agent drains meanwhile, since a backend
+    /// server that leaves must get no new work from the queue either.
     pub(crate) async fn admit(
         self: &Arc<Self>,
         class: usize,
         deadline: Instant,
+    ) -> Option<Result<Slot, NotAdmitted>> {
+        let mut draining = self.draining.subscribe();
+        tokio::select! {
+            biased;
+            _ = draining.wait_for(|draining| *draining) => None,
+            admitted = self.wait_slot(class, deadline) => Some(admitted),
+        }
+    }
+
+    async fn wait_slot(
+        self: &Arc<Self>,
+        class: usize,
+        deadline: Instant,
     ) -> Result<Slot, NotAdmitted> {
         let id = self.next_id();
         let (sender, receiver) = oneshot::channel();
--- a/crates/requests/src/watch.rs
+++ b/crates/requests/src/watch.rs
@@ -13,15 +13,14 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::HandlerSettings;
 use crate::framing::Framing;
 
-/// Longest time for which a caller may accept no byte of a response.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
-
 #[derive(Debug)]
 struct Limits {
     framing: Framing,
     head_timeout: Duration,
+    write_timeout: Duration,
     head: Option<Instant>,
     write: Option<Instant>,
     body: Option<Instant>,
@@ -37,10 +36,11 @@
 }
 
 impl Watch {
-    pub(crate) fn new(max_head: usize, head_timeout: Duration) -> Self {
+    pub(crate) fn new(settings: &HandlerSettings) -> Self {
         let limits = Limits {
-            framing: Framing::new(max_head),
-            head_timeout,
+            framing: Framing::new(settings.max_head),
+            head_timeout: settings.head_timeout,
+            write_timeout: settings.write_timeout,
             head: None,
             write: None,
             body: None,
@@ -91,7 +91,7 @@
     fn until(&self) -> Option<Instant> {
         let limits = self.lock();
         let head = limits.head.map(|since| since + limits.head_timeout);
-        let write = limits.write.map(|since| since + WRITE_TIMEOUT);
+        let write = limits.write.map(|since| since + limits.write_timeout);
         [head, write, limits.body].into_iter().flatten().min()
     }
 
--- a/crates/requests/tests/suite/agents.rs
+++ b/crates/requests/tests/suite/agents.rs
@@ -125,6 +125,7 @@
         slots: Slots(2),
         seed,
         head_timeout: std::time::Duration::from_millis(500),
+        write_timeout: std::time::Duration::from_millis(800),
         ..HandlerSettings::new("shop".parse().expect("valid"), host, backend)
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
--- a/crates/requests/tests/suite/limits.rs
+++ b/crates/requests/tests/suite/limits.rs
@@ -161,6 +161,25 @@
     assert!(!answer.complete);
 }
 
+/// Guards against a caller that reads nothing and holds its slot until a late
+/// deadline.
+#[tokio::test]
+async fn a_caller_that_does_not_read_is_cut_before_a_late_deadline() {
+    let all = Agents::start(1).await;
+    let agent = &all.agents[0];
+    let mut caller = Caller::connect(agent.caller).await;
+    let size = 64 << 20;
+    caller
+        .send(&format!(
+            "GET /read?size={size} HTTP/1.1\r\nhost: a\r\n\r\n"
+        ))
+        .await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(agent.handler().busy(), 1);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(agent.handler().busy(), 0);
+}
+
 /// Guards against queueing a request whose wait exceeds its time left.
 #[tokio::test]
 async fn hopeless_requests_are_refused_at_once() {
--- a/crates/requests/tests/suite/relays.rs
+++ b/crates/requests/tests/suite/relays.rs
@@ -49,6 +49,23 @@
     assert!(begun.await.unwrap().complete);
 }
 
+/// Guards against queued work that begins at a leaving backend server (P6).
+#[tokio::test]
+async fn waiting_requests_leave_a_draining_agent() {
+    let all = Agents::start(2).await;
+    let address = all.agents[0].caller;
+    for _ in 0..2 {
+        tokio::spawn(async move { once(address, "GET /read?delay=1000", "", "").await });
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let waiting = tokio::spawn(async move { once(address, "POST /once?queued=1", "", "b").await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(all.began("queued"), 0);
+    all.agents[0].handler().drain();
+    assert_eq!(waiting.await.unwrap().status, 200);
+    assert_eq!(all.agents[1].fake.count("queued"), 1);
+}
+
 /// Guards against work that begins at a leaving backend server because no
 /// sibling takes it, and against a second hop.
 #[tokio::test]
