Keep a backend server that sheds load in service

A status 503 counted as a failed request, so three of them in a row made a member unhealthy; in a peak this would have taken every member out at once. Shedding now only takes slots away; refused connections and broken exchanges still count.

The new test fails without the change (the member is unhealthy after three answers 503). It also covers health by refused connections.

--- a/crates/requests/src/exchange.rs
+++ b/crates/requests/src/exchange.rs
@@ -56,7 +56,11 @@
         if let Some(slot) = &mut self.slot {
             slot.ended = if shed { Ended::Shed } else { Ended::Answered };
         }
-        self.shared.observe(Source::Direct, !shed);
+        // A server that sheds load is alive; it gets fewer requests at a time.
+        // Counted as failures, a peak would make every member unhealthy.
+        if !shed {
+            self.shared.observe(Source::Direct, true);
+        }
         if let Some(connection) = self.connection.take() {
             self.shared.backend.give_back(connection);
         }
--- a/crates/requests/tests/suite/limits.rs
+++ b/crates/requests/tests/suite/limits.rs
@@ -180,6 +180,31 @@
     assert_eq!(agent.handler().busy(), 0);
 }
 
+/// Guards against a peak that makes members unhealthy, against full load on a
+/// server that sheds, and against work for one that can't be reached.
+#[tokio::test]
+async fn shedding_takes_slots_and_failures_take_health() {
+    let mut all = Agents::start(1).await;
+    let address = all.agents[0].caller;
+    for _ in 0..6 {
+        let answer = once(address, "GET /read?status=503", "", "").await;
+        assert_eq!((answer.status, answer.outcome()), (503, ""));
+    }
+    let handler = all.agents[0].handler();
+    assert!(handler.healthy());
+    assert_eq!(handler.load(0).slots, 1);
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let unreachable = closed.local_addr().unwrap();
+    drop(closed);
+    all.point(0, unreachable);
+    // The first request makes two attempts; three failures are needed.
+    once(address, "POST /once", "", "").await;
+    assert!(all.agents[0].handler().healthy());
+    once(address, "POST /once", "", "").await;
+    assert!(!all.agents[0].handler().healthy());
+    assert!(!all.agents[0].handler().load(0).serving);
+}
+
 /// Guards against queueing a request whose wait exceeds its time left.
 #[tokio::test]
 async fn hopeless_requests_are_refused_at_once() {
