Bound proposals, texts and wake-ups; race operators on one version

Cause: when every agent of a region joins or is lost at once, the change was larger than the largest command and would have been refused for ever; kept refusals and authors of announcements had no limit; counts of agents woke every long poll four times per second; and a port given by the system was taken again before a process bound it (1 of 14 tests in one run). Change: 2,048 members and 1,024 missing hosts per entry, messages up to 2 KB, authors checked everywhere, long polls woken by what nodes hold, test ports below the system's range. Splitting over several proposals in one tick was ruled out, since a later tick does it anyway.

--- a/bin/control/src/node.rs
+++ b/bin/control/src/node.rs
@@ -64,8 +64,13 @@
             apply: Box::new(move |index, command| {
                 let mut state = apply.state.write().unwrap_or_else(PoisonError::into_inner);
                 let outcome = state.apply(index, command);
+                let news = state.news();
                 drop(state);
-                apply.changed.send_replace(index);
+                apply.changed.send_if_modified(|last| {
+                    let newer = news > *last;
+                    *last = news;
+                    newer
+                });
                 outcome
             }),
             snapshot: Box::new(move || snapshot.state().snapshot()),
@@ -75,9 +80,9 @@
                     .write()
                     .unwrap_or_else(PoisonError::into_inner);
                 state.restore(raw).map_err(|e| Box::from(e.to_string()))?;
-                let index = state.index();
+                let news = state.news();
                 drop(state);
-                restore.changed.send_replace(index);
+                restore.changed.send_replace(news);
                 Ok(())
             }),
         }
@@ -111,7 +116,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Changes of the applied index.
+    /// Changes that nodes may need, by log index.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/bin/control/tests/all/group.rs
+++ b/bin/control/tests/all/group.rs
@@ -100,6 +100,34 @@
     });
 }
 
+/// Guards against two operators whose changes from the same version both succeed.
+#[test]
+fn one_of_equal_versions_is_accepted() {
+    let group = Group::start(program(), 3);
+    block_on(async {
+        let leader = leader(&group, &[0, 1, 2]).await;
+        for round in 0..5 {
+            let race = |number: u64| {
+                let mut operator = Operator::new(&group, leader);
+                operator.keys = 100 * (round + 1) + number;
+                tokio::spawn(async move { operator.put(round, profile(number)).await })
+            };
+            let racers: Vec<_> = (0..8).map(race).collect();
+            let mut codes = Vec::new();
+            for racer in racers {
+                let (status, body) = racer.await.unwrap();
+                if status == 409 {
+                    assert_eq!(body["current"], round + 1);
+                    assert_eq!(body["author"], "ann");
+                }
+                codes.push(status);
+            }
+            codes.sort_unstable();
+            assert_eq!(codes, [200, 409, 409, 409, 409, 409, 409, 409]);
+        }
+    });
+}
+
 /// Guards against accepted changes that are lost or reverted when every replica restarts.
 #[test]
 fn a_restart_of_all_replicas_keeps_everything() {
--- a/bin/control/tests/all/harness.rs
+++ b/bin/control/tests/all/harness.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -140,12 +141,23 @@
     }
 }
 
-/// Addresses whose ports were free a moment ago.
+/// Ports below those that the operating system gives to outgoing connections,
+/// one of which could take a port again before a process binds it.
+const PORTS: std::ops::Range<u32> = 12_000..30_000;
+
+/// Free addresses that no other call of this process returned.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
-    let listeners: Vec<_> = (0..count).map(bind).collect();
-    let address = |listener: &TcpListener| listener.local_addr().unwrap();
-    listeners.iter().map(address).collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let size = PORTS.end - PORTS.start;
+    let free = || {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        // Test processes that run at the same time start at different ports.
+        let port = PORTS.start + (std::process::id().wrapping_mul(64).wrapping_add(step)) % size;
+        let port = u16::try_from(port).unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        TcpListener::bind(address).is_ok().then_some(address)
+    };
+    (0..size).filter_map(|_| free()).take(count).collect()
 }
 
 /// Runs a program to its end; ended after the limit.
--- a/bin/control/tests/all/nodes.rs
+++ b/bin/control/tests/all/nodes.rs
@@ -20,7 +20,8 @@
 pub struct Operator {
     http: reqwest::Client,
     base: String,
-    keys: u64,
+    /// Number of the last operator key.
+    pub keys: u64,
 }
 
 impl Operator {
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -7,6 +7,10 @@
 
 use crate::{Action, Membership, Now};
 
+/// Lost hosts that are named with a version, so that the loss of a region does
+/// not make an entry too large for the log.
+pub const MAX_MISSING: usize = 1_024;
+
 impl Membership {
     /// Proposes the newest version that every live node reports.
     ///
@@ -29,6 +33,7 @@
             .map(|((_, host, _), _, _)| host.clone())
             .collect();
         missing.dedup();
+        missing.truncate(MAX_MISSING);
         out.push(Action::Propose(state::Action::InForce {
             version,
             nodes: u32::try_from(versions.len()).unwrap_or(u32::MAX),
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -18,7 +18,9 @@
 use tokio::time::Instant;
 use units::{HostName, Millis, ServiceId};
 
+pub use config::MAX_MISSING;
 pub use lease::{MAX_NODES, Node, NodeKey, Refused};
+pub use members::MAX_CHANGED;
 
 /// Time without a heartbeat after which a node counts as lost.
 pub const LEASE: Millis = Millis(4_000);
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -9,6 +9,10 @@
 
 use crate::{Action, COALESCE, Membership, Node, NodeKey, Now};
 
+/// Members in one proposal; 200 bytes each stay below the largest command of
+/// 1 MB. What is left over comes with the next one.
+pub const MAX_CHANGED: usize = 2_048;
+
 /// Newest incarnation that announced an address.
 type Holders = BTreeMap<SocketAddrV4, Incarnation>;
 
@@ -44,6 +48,7 @@
         let holders = self.holders();
         let mut changes = Vec::new();
         let mut waiting = BTreeSet::new();
+        let mut room = MAX_CHANGED;
         for id in std::mem::take(&mut self.dirty) {
             let Some(table) = state.table(id) else {
                 continue;
@@ -52,14 +57,20 @@
                 continue;
             };
             let wanted = self.wanted(&name.body.name, &holders);
-            let (change, unheard) = difference(table, wanted, settled, &holders);
+            let (mut change, unheard) = difference(table, wanted, settled, &holders);
+            change.put.truncate(room);
+            change.gone.truncate(room - change.put.len());
+            room -= change.put.len() + change.gone.len();
             if unheard {
                 waiting.insert(id);
             }
             if !change.put.is_empty() || !change.gone.is_empty() {
+                changes.push(change);
                 // Stays marked until a later tick sees it in the state.
                 waiting.insert(id);
-                changes.push(change);
+            }
+            if room == 0 {
+                waiting.insert(id);
             }
         }
         self.dirty = waiting;
--- a/crates/membership/tests/decisions.rs
+++ b/crates/membership/tests/decisions.rs
@@ -8,7 +8,9 @@
     Announce, Announcement, Heartbeat, HeartbeatReply, Member, MemberState, Order, Role, Target,
     TargetKind,
 };
-use membership::{Action, Event, LEASE, MAX_NODES, Membership, Now, Refused};
+use membership::{
+    Action, Event, LEASE, MAX_CHANGED, MAX_MISSING, MAX_NODES, Membership, Now, Refused,
+};
 use profile::{Declaration, Profile, Service};
 use state::{Command, Outcome, State};
 use tokio::time::Instant;
@@ -447,3 +449,61 @@
     assert_eq!(world.beat(&one_more), Err(Refused::Full));
     world.beat(&balancer("n0", 1, 3, Role::Balancer)).unwrap();
 }
+
+/// Guards against a proposal that is too large for the log and so never made:
+/// when every agent of a region joins or is lost at once.
+#[test]
+fn proposals_are_bounded() {
+    let mut world = World::new();
+    let mut agents = Vec::new();
+    for number in 0..=MAX_CHANGED {
+        let mut beat = agent("a", 1, SERVING);
+        beat.host = format!("{number:0>60}").parse().unwrap();
+        let port = 10_000 + u16::try_from(number).unwrap();
+        beat.backend.as_mut().unwrap().packets.set_port(port);
+        agents.push(beat);
+    }
+    for step in [0, 1] {
+        if step == 0 {
+            for beat in &agents {
+                world.beat(beat).unwrap();
+            }
+        }
+        let mut sizes: Vec<usize> = Vec::new();
+        for _ in 0..[15, 40][step] {
+            world.skip(100);
+            for action in world.event(Event::Tick) {
+                let Action::Propose(action) = action else {
+                    panic!("{action:?}")
+                };
+                if let state::Action::Members(changes) = &action {
+                    let size = |c: &state::TableChange| c.put.len() + c.gone.len();
+                    sizes.push(changes.iter().map(size).sum());
+                    let at = world.now.unix;
+                    let action = action.clone();
+                    let raw = Command { at, action }.encode().unwrap();
+                    assert!(raw.len() < 1 << 20, "{}", raw.len());
+                }
+                world.run(action);
+            }
+        }
+        assert_eq!(sizes, [MAX_CHANGED, 1]);
+    }
+}
+
+/// Guards against an entry that is too large for the log when a region is lost.
+#[test]
+fn missing_hosts_are_bounded() {
+    let mut world = World::new();
+    for number in 0..=MAX_MISSING {
+        let node = balancer(&format!("n{number}"), 1, 1, Role::Balancer);
+        world.beat(&node).unwrap();
+    }
+    world.live(6, &[balancer("x", 1, 3, Role::Balancer)]);
+    let audit = world.state.report(Millis(0)).audit;
+    let missing = audit.into_iter().filter_map(|entry| match entry.event {
+        api::AuditEvent::InForce { missing, .. } => Some(missing.len()),
+        _ => None,
+    });
+    assert_eq!(missing.max(), Some(MAX_MISSING));
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -7,6 +7,10 @@
 
 use crate::StateError;
 
+/// Longest message of a refusal in bytes. Refusals are kept with their operator
+/// key, and findings repeat texts of the request, which may have 256 KB.
+pub const MAX_MESSAGE: usize = 2_048;
+
 /// One entry of the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Command {
@@ -143,7 +147,10 @@
         rmp_serde::from_slice(raw).map_err(|e| StateError::Outcome(e.to_string().into()))
     }
 
-    pub(crate) fn invalid(message: impl Into<Box<str>>) -> Self {
+    /// The message is cut at [`MAX_MESSAGE`].
+    pub(crate) fn invalid(message: impl Into<String>) -> Self {
+        let mut message = message.into();
+        message.truncate(message.floor_char_boundary(MAX_MESSAGE));
         Self::Refused(Refusal::Invalid(message.into()))
     }
 
--- a/crates/state/src/declare.rs
+++ b/crates/state/src/declare.rs
@@ -18,7 +18,7 @@
 pub const MAX_RETIRED: usize = 4_096;
 
 /// Longest author in bytes.
-const MAX_AUTHOR: usize = 128;
+pub const MAX_AUTHOR: usize = 128;
 
 /// Service numbers per region; a service id has 24 bits below its region.
 const MAX_NUMBER: u32 = (1 << 24) - 1;
@@ -115,9 +115,8 @@
 
     /// Refuses a bad author, an unknown kind and an unexpected version.
     fn check_request(&self, named: &Named<'_>) -> Option<Outcome> {
-        if named.author.is_empty() || named.author.len() > MAX_AUTHOR {
-            let message = format!("the author must have 1 to {MAX_AUTHOR} bytes");
-            return Some(Outcome::invalid(message));
+        if let Some(refused) = check_author(named.author) {
+            return Some(refused);
         }
         if !matches!(named.kind, "profile" | "service") {
             let message = format!("kind {:?} is not profile or service", named.kind);
@@ -289,6 +288,12 @@
     }
 }
 
+/// Refuses an author that is missing or too long for the audit record.
+pub(crate) fn check_author(author: &str) -> Option<Outcome> {
+    let fits = (1..=MAX_AUTHOR).contains(&author.len());
+    (!fits).then(|| Outcome::invalid(format!("the author must have 1 to {MAX_AUTHOR} bytes")))
+}
+
 fn findings(list: &[Box<str>]) -> Option<Outcome> {
     (!list.is_empty()).then(|| Outcome::invalid(list.join("; ")))
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -19,8 +19,8 @@
 
 pub use answers::{KEY_AHEAD_MS, MAX_ANSWERS};
 pub use audit::{MAX_CHANGES, MAX_EVENTS};
-pub use command::{Action, Command, Outcome, Refusal, TableChange};
-pub use declare::{MAX_PROFILES, MAX_RETIRED, MAX_SERVICES, ServiceEntry};
+pub use command::{Action, Command, MAX_MESSAGE, Outcome, Refusal, TableChange};
+pub use declare::{MAX_AUTHOR, MAX_PROFILES, MAX_RETIRED, MAX_SERVICES, ServiceEntry};
 pub use error::StateError;
 pub use key_log::MAX_SETS;
 pub use plan::{MAX_PLAN_MS, MAX_PLANS, Plan};
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use units::{HostName, Millis, Version};
 
+use crate::declare::check_author;
 use crate::{Outcome, State};
 
 /// Planned changes that have not ended, at most.
@@ -36,6 +37,9 @@
 impl State {
     pub(crate) fn announce(&mut self, request: &Announce) -> Outcome {
         let now = self.now;
+        if let Some(refused) = check_author(&request.author) {
+            return refused;
+        }
         if request.end <= request.start || request.end <= now {
             return Outcome::invalid(format!(
                 "a planned change from {} to {} has no time left; its end must be after its \
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     pub(crate) index: u64,
+    /// Index of the last command that nodes may need.
+    news: u64,
     /// Newest time of a command; never goes back.
     pub(crate) now: Millis,
     pub(crate) config: Version,
@@ -59,7 +61,13 @@
         }
         self.index = index;
         match Command::decode(command) {
-            Ok(command) => self.run(&command).encode(),
+            Ok(command) => {
+                let outcome = self.run(&command);
+                if concerns_nodes(&command.action) {
+                    self.news = index;
+                }
+                outcome.encode()
+            }
             Err(e) => Outcome::invalid(e.to_string()).encode(),
         }
     }
@@ -218,6 +226,12 @@
         self.index
     }
 
+    /// Index of the last command that may change the answer to a long poll.
+    #[must_use]
+    pub fn news(&self) -> u64 {
+        self.news
+    }
+
     /// Newest time of a command.
     #[must_use]
     pub fn now(&self) -> Millis {
@@ -281,3 +295,16 @@
 fn digest<T: Serialize>(request: &T) -> u64 {
     xxh3_64(&rmp_serde::to_vec_named(request).unwrap_or_default())
 }
+
+/// Whether nodes hold anything that an action may change. Counts of agents come
+/// four times per second and must not wake every long poll.
+fn concerns_nodes(action: &Action) -> bool {
+    match action {
+        Action::Burn(_) | Action::InForce { .. } | Action::Announce(_) => false,
+        Action::Put { .. }
+        | Action::Retire { .. }
+        | Action::Members(_)
+        | Action::KeySet { .. }
+        | Action::Horizon(_) => true,
+    }
+}
--- a/crates/state/tests/all/declare.rs
+++ b/crates/state/tests/all/declare.rs
@@ -1,10 +1,10 @@
 //! Declarations: versions, conflicts, checks and limits.
 
-use crate::common::{Log, profile, service, version};
-use api::Conflict;
+use crate::common::{Log, NOW, profile, service, version};
+use api::{Announce, Conflict, Target, TargetKind};
 use profile::Declaration;
-use state::{MAX_PROFILES, MAX_SERVICES, Outcome, Refusal};
-use units::{ServiceId, Version};
+use state::{Action, MAX_AUTHOR, MAX_MESSAGE, MAX_PROFILES, MAX_SERVICES, Outcome, Refusal};
+use units::{Millis, ServiceId, Version};
 
 fn refusal(outcome: Outcome) -> (&'static str, Box<str>) {
     match outcome {
@@ -129,6 +129,52 @@
     assert_eq!(version(&log.retire("profile", "p", 1)), 4);
 }
 
+/// Guards against texts of requests that fill the kept answers and the audit record.
+#[test]
+fn texts_are_bounded() {
+    let mut log = Log::new();
+    let mut body = profile("p", 0);
+    if let Declaration::Profile(p) = &mut body {
+        p.protocol = profile::Protocol::Http;
+        let text = format!(
+            r#"{{"name":"c","path":"{}","idempotent":true,"deadline_ms":1}}"#,
+            "ä".repeat(MAX_MESSAGE)
+        );
+        p.classes.push(serde_json::from_str(&text).unwrap());
+    }
+    let (_, message) = refusal(log.put(0, body));
+    assert!((MAX_MESSAGE - 1..=MAX_MESSAGE).contains(&message.len()));
+    for (length, valid) in [
+        (0, false),
+        (1, true),
+        (MAX_AUTHOR, true),
+        (MAX_AUTHOR + 1, false),
+    ] {
+        let author: Box<str> = "a".repeat(length).into();
+        let (expected, key) = (log.state.stored("profile", "p"), log.key().into());
+        let put = Action::Put {
+            expected: expected.map_or(Version(0), |stored| stored.version),
+            key,
+            author: author.clone(),
+            body: profile("p", 0),
+        };
+        assert_eq!(matches!(log.run(put), Outcome::Put(_)), valid, "{length}");
+        let key = log.key().into();
+        let announce = Action::Announce(Announce {
+            target: Target {
+                kind: TargetKind::Control,
+                host: "c".parse().unwrap(),
+            },
+            start: Millis(0),
+            end: Millis(NOW.0 + 1),
+            key,
+            author,
+        });
+        let announced = matches!(log.run(announce), Outcome::Announced(_));
+        assert_eq!(announced, valid, "{length}");
+    }
+}
+
 /// Guards against memory that grows without a stated limit.
 #[test]
 fn limits_hold_just_above() {
