--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -21,6 +21,10 @@
 /// Requests that are handled together, so that they share a write and a message.
 const BATCH: usize = 512;
 
+/// Messages that may wait for a write while the disk does not respond; more are
+/// dropped, the protocol repeats them.
+const HELD: usize = 4096;
+
 /// Task of a replica.
 pub(crate) struct Core {
     pub(crate) settings: ReplicaSettings,
@@ -102,7 +106,12 @@
             self.take_snapshot();
             self.update();
         }
-        self.refuse_waiting();
+        // Requests that still wait were never accepted.
+        self.inputs.close();
+        while let Ok(input) = self.inputs.try_recv() {
+            let reason = "the replica has stopped".into();
+            input.refuse(ProposeError::Refused { reason });
+        }
         self.peers.retain(|_| false);
         self.done.close();
         self.disk.stop().await;
@@ -113,23 +122,6 @@
         }
     }
 
-    /// Refuses what was not taken before the stop; none of it was proposed.
-    fn refuse_waiting(&mut self) {
-        self.inputs.close();
-        while let Ok(input) = self.inputs.try_recv() {
-            let reason = "the replica has stopped".into();
-            let refused = ProposeError::Refused { reason };
-            match input {
-                Input::Propose(_, reply) => drop(reply.send(Err(refused))),
-                Input::Confirm(reply) | Input::Change(_, reply) | Input::Transfer(reply) => {
-                    drop(reply.send(Err(refused)));
-                }
-                // The sender sees that the replica is gone.
-                Input::Wire(..) | Input::Stop(_) => {}
-            }
-        }
-    }
-
     /// Handles a request and those that wait behind it.
     fn take(&mut self, first: Input) {
         let mut batch = Batch::default();
@@ -268,7 +260,9 @@
                 self.progress.is_broken |= !self.disk.send(Job::Write { seq, write });
             }
             Action::Send { to, message, after } if after > self.progress.synced => {
-                self.progress.held.push((after, to, message));
+                if self.progress.held.len() < HELD {
+                    self.progress.held.push((after, to, message));
+                }
             }
             Action::Send { to, message, .. } => self.send(to, message),
             Action::Commit { index } => self.apply(index),
@@ -371,8 +365,11 @@
                 }
             }
             Done::Applied(entries) => {
+                let last = entries.iter().map(|entry| entry.index).max();
+                self.progress.applied = last.unwrap_or(self.progress.applied);
+                // A proposer that reads the status after its answer must find its entry in it.
+                self.update();
                 for entry in entries {
-                    self.progress.applied = entry.index;
                     self.progress.waiters.applied(entry);
                 }
                 self.progress.waiters.release(self.progress.applied);
