--- a/crates/replica/examples/measure.rs
+++ b/crates/replica/examples/measure.rs
@@ -1,7 +1,8 @@
 //! Measures a group of three replicas over loopback HTTP.
 //!
 //! `measure commits` prints commits per second and latency by number of
-//! callers; `measure recovery` the time and the bytes until a replica with an
+//! callers; `measure distant` does so with 3 ms one way between replicas, as
+//! between data centres; `measure recovery` the time and the bytes until a replica with an
 //! empty disk has caught up, from the log and from a snapshot, by entries.
 //! An optional folder after the word holds the files.
 
@@ -30,9 +31,14 @@
 /// Callers that fill the log before a recovery is measured.
 const FILLERS: u64 = 128;
 
+/// One-way delay between data centres.
+const DISTANCE: Duration = Duration::from_millis(3);
+
 #[derive(Default)]
 struct Slot {
     replica: Mutex<Option<Replica>>,
+    /// Delay before a request is handled and before it is answered.
+    delay: Duration,
     bytes: AtomicU64,
 }
 
@@ -66,15 +72,25 @@
     let Some(replica) = slot.replica() else {
         return rpc::refuse(StatusCode::SERVICE_UNAVAILABLE, "starting");
     };
-    match replica.handle(&request.message.0).await {
+    if !slot.delay.is_zero() {
+        tokio::time::sleep(slot.delay).await;
+    }
+    let answer = replica.handle(&request.message.0).await;
+    if !slot.delay.is_zero() {
+        tokio::time::sleep(slot.delay).await;
+    }
+    match answer {
         Ok(answer) => request.reply(&key(), &replica::Body(answer)),
         Err(error) => rpc::refuse(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
     }
 }
 
 impl Node {
-    fn new(id: u64) -> Result<Self, Failure> {
-        let slot = Arc::new(Slot::default());
+    fn new(id: u64, delay: Duration) -> Result<Self, Failure> {
+        let slot = Arc::new(Slot {
+            delay,
+            ..Slot::default()
+        });
         let mut api = ApiDescription::new();
         api.register(replicate)?;
         let config = ConfigDropshot {
@@ -150,8 +166,10 @@
     replicas: Vec<Replica>,
 }
 
-async fn group(settings: &ReplicaSettings, root: &Path) -> Result<Group, Failure> {
-    let nodes = (1..=3).map(Node::new).collect::<Result<Vec<_>, _>>()?;
+async fn group(settings: &ReplicaSettings, root: &Path, delay: Duration) -> Result<Group, Failure> {
+    let nodes = (1..=3)
+        .map(|id| Node::new(id, delay))
+        .collect::<Result<Vec<_>, _>>()?;
     let peer = |n: &Node| Peer {
         id: ReplicaId(n.id),
         address: n.address,
@@ -201,11 +219,11 @@
     Ok(all)
 }
 
-async fn commits(root: &Path) -> Result<(), Failure> {
+async fn commits(root: &Path, delay: Duration) -> Result<(), Failure> {
     println!("callers  commits/s  p50 ms  p99 ms  max ms");
     for callers in [1, 8, 64, 512] {
         let folder = root.join(format!("commits-{callers}"));
-        let group = group(&ReplicaSettings::default(), &folder).await?;
+        let group = group(&ReplicaSettings::default(), &folder, delay).await?;
         let start = Instant::now();
         let all = load(&group.leader, callers, move || start.elapsed() < SPAN).await?;
         let rate = all.len() as f64 / start.elapsed().as_secs_f64();
@@ -247,7 +265,7 @@
         tail: 0,
         ..ReplicaSettings::default()
     };
-    let group = group(&settings, folder).await?;
+    let group = group(&settings, folder, Duration::ZERO).await?;
     let left = Arc::new(AtomicU64::new(entries));
     let take = |n: u64| n.checked_sub(1);
     let more = move || {
@@ -257,7 +275,7 @@
     load(&group.leader, FILLERS, more).await?;
     // Time for the snapshot to reach the disk.
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let node = Node::new(4)?;
+    let node = Node::new(4, Duration::ZERO)?;
     let target = group.leader.status().commit;
     let start = Instant::now();
     let replica = node.start(&settings, &group.peers, folder).await?;
@@ -280,8 +298,9 @@
         .next()
         .map_or_else(|| scratch.path().to_owned(), PathBuf::from);
     match what.as_deref() {
-        Some("commits") => commits(&root).await,
+        Some("commits") => commits(&root, Duration::ZERO).await,
+        Some("distant") => commits(&root, DISTANCE).await,
         Some("recovery") => recovery(&root).await,
-        _ => Err("usage: measure commits|recovery [folder]".into()),
+        _ => Err("usage: measure commits|distant|recovery [folder]".into()),
     }
 }
--- a/crates/replica/src/peers.rs
+++ b/crates/replica/src/peers.rs
@@ -16,8 +16,8 @@
 /// Messages that wait for a peer; more are dropped, the protocol repeats them.
 const QUEUE: usize = 256;
 
-/// Requests to a peer that may be unanswered, so that a long round trip does
-/// not delay the next entries.
+/// Requests to a peer that may be unanswered. With 3 ms one way and 64 callers,
+/// one at a time gave a median commit of 18 ms instead of 10 ms.
 const IN_FLIGHT: usize = 4;
 
 /// Size of a request in bytes after which no further messages are added.
