--- a/bin/load/src/command/mod.rs
+++ b/bin/load/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod fabric;
 mod packets;
 mod proxy;
+mod run;
 mod subscribers;
 
 use std::process::ExitCode;
@@ -28,6 +29,8 @@
             LoadCmd::Subscribers(flags) => subscribers::run(flags).await,
             LoadCmd::Packets(flags) => packets::run(flags).await,
             LoadCmd::Capacity(flags) => capacity::run(flags, allocated).await,
+            LoadCmd::Run(flags) => run::run(flags).await,
+            LoadCmd::Settings(flags) => run::settings(&flags),
             LoadCmd::Backend(flags) => backend::run(flags).await,
             LoadCmd::Fabric(flags) => fabric::run(flags).await,
             LoadCmd::Proxy(flags) => proxy::run(flags).await,
