Take new ports when another process has one before a replica binds it

Cause: 2 of about 12 runs of control's tests failed while other tests ran on the machine; the message of a replica, now part of the panic, was that its address was in use. Change: ports apart from those of the other tests, and a group that starts anew on other ports for this one error only. Holding the port until the start was ruled out, since the process has to bind it itself.

--- a/bin/control/tests/all/harness.rs
+++ b/bin/control/tests/all/harness.rs
@@ -39,26 +39,44 @@
         std::fs::write(dir.path().join("key.hex"), text).unwrap();
         let mut group = Self {
             dir,
-            addresses: free_addresses(size),
+            addresses: Vec::new(),
             program: program.into(),
             running: (0..size).map(|_| None).collect(),
             lines: (0..size).map(|_| Arc::default()).collect(),
         };
-        for index in 0..size {
-            group.write_settings(index, |_| {});
+        // Another process of the machine may take a port before a replica binds it.
+        for _ in 0..5 {
+            group.addresses = free_addresses(size);
+            for index in 0..size {
+                group.write_settings(index, |_| {});
+            }
+            match group.try_run_all() {
+                Ok(()) => return group,
+                Err(text) if text.contains("Address already in use") => {
+                    (0..size).for_each(|index| group.kill(index));
+                }
+                Err(text) => panic!("{text}"),
+            }
         }
-        group.run_all();
-        group
+        panic!("no free ports")
     }
 
     /// Starts every replica that is not running.
     pub fn run_all(&mut self) {
+        self.try_run_all().unwrap();
+    }
+
+    fn try_run_all(&mut self) -> Result<(), String> {
         let stopped = (0..self.running.len()).filter(|index| self.running[*index].is_none());
         let stopped: Vec<_> = stopped.collect();
         let ready: Vec<_> = stopped.iter().map(|index| self.spawn(*index)).collect();
-        for ready in ready {
-            ready.recv_timeout(LIMIT).expect("a replica is not ready");
+        for (index, ready) in stopped.into_iter().zip(ready) {
+            if let Err(e) = ready.recv_timeout(LIMIT) {
+                let lines = self.lines(index);
+                return Err(format!("replica {index} is not ready: {e}: {lines:?}"));
+            }
         }
+        Ok(())
     }
 
     /// Log lines of a replica.
@@ -142,8 +160,9 @@
 }
 
 /// Ports below those that the operating system gives to outgoing connections,
-/// one of which could take a port again before a process binds it.
-const PORTS: std::ops::Range<u32> = 12_000..30_000;
+/// one of which could take a port again before a process binds it, and those
+/// that other tests of this workspace use.
+const PORTS: std::ops::Range<u32> = 6_000..12_000;
 
 /// Free addresses that no other call of this process returned.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
