--- a/bin/load/src/cli.rs
+++ b/bin/load/src/cli.rs
@@ -28,6 +28,36 @@
             /// Exit after this many seconds; 600 if left out.
             optional --seconds seconds: u64
         }
+        /// Packets a second through one balancer.
+        cmd packets {
+            /// Control leader.
+            required --control control: SocketAddr
+            /// Balancer.
+            required --balancer balancer: SocketAddr
+            /// Key file.
+            required --key key: PathBuf
+            /// Service.
+            required --service service: String
+            /// Address of the service.
+            required --address address: SocketAddrV4
+            /// Flows; 1000 if left out.
+            optional --flows flows: usize
+            /// Packets a second; as many as possible if left out.
+            optional --rate rate: u64
+            /// Seconds, at most 60; 5 if left out.
+            optional --seconds seconds: u64
+        }
+        /// Nodes that send heartbeats and poll control.
+        cmd subscribers {
+            /// Control leader.
+            required --control control: SocketAddr
+            /// Key file.
+            required --key key: PathBuf
+            /// Nodes, at most 4000.
+            required --nodes nodes: usize
+            /// Seconds, at most 120; 10 if left out.
+            optional --seconds seconds: u64
+        }
         /// Measures the slopes of the capacity page.
         cmd capacity {
             /// Divides the largest sizes; 1 if left out.
@@ -69,5 +99,23 @@
             /// Longest run in seconds; 40 if left out.
             optional --seconds seconds: u64
         }
+        /// Writes the settings files of an experiment's processes, or lists the experiments.
+        cmd settings {
+            /// Experiments file.
+            required file: PathBuf
+            /// Experiment.
+            optional --only only: String
+            /// Folder for the settings files.
+            optional --out out: PathBuf
+        }
+        /// Runs an experiment; `scripts/experiments.sh` starts the other processes.
+        cmd run {
+            /// Experiments file.
+            required file: PathBuf
+            /// Experiment.
+            required --only only: String
+            /// Folder for results; the current one if left out.
+            optional --out out: PathBuf
+        }
     }
 }
--- a/bin/load/src/command/mod.rs
+++ b/bin/load/src/command/mod.rs
@@ -4,7 +4,10 @@
 mod capacity;
 mod demo;
 mod fabric;
+mod packets;
 mod proxy;
+mod run;
+mod subscribers;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -23,7 +26,11 @@
     let runtime = tokio::runtime::Runtime::new().map_err(LoadError::io("start the runtime"))?;
     runtime.block_on(async {
         match flags.subcommand {
+            LoadCmd::Subscribers(flags) => subscribers::run(flags).await,
+            LoadCmd::Packets(flags) => packets::run(flags).await,
             LoadCmd::Capacity(flags) => capacity::run(flags, allocated).await,
+            LoadCmd::Run(flags) => run::run(flags).await,
+            LoadCmd::Settings(flags) => run::settings(&flags),
             LoadCmd::Backend(flags) => backend::run(flags).await,
             LoadCmd::Fabric(flags) => fabric::run(flags).await,
             LoadCmd::Proxy(flags) => proxy::run(flags).await,
--- a/crates/requests/tests/suite/relays.rs
+++ b/crates/requests/tests/suite/relays.rs
@@ -22,6 +22,7 @@
         method: "GET".into(),
         uri: "/read?relayed=1".into(),
         headers: vec![("host".into(), "a".into())],
+        leaving: false,
     }
 }
 
@@ -48,6 +49,23 @@
     assert!(begun.await.unwrap().complete);
 }
 
+/// Guards against queued work that begins at a leaving backend server (P6).
+#[tokio::test]
+async fn waiting_requests_leave_a_draining_agent() {
+    let all = Agents::start(2).await;
+    let address = all.agents[0].caller;
+    for _ in 0..2 {
+        tokio::spawn(async move { once(address, "GET /read?delay=1000", "", "").await });
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let waiting = tokio::spawn(async move { once(address, "POST /once?queued=1", "", "b").await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(all.began("queued"), 0);
+    all.agents[0].handler().drain();
+    assert_eq!(waiting.await.unwrap().status, 200);
+    assert_eq!(all.agents[1].fake.count("queued"), 1);
+}
+
 /// Guards against work that begins at a leaving backend server because no
 /// sibling takes it, and against a second hop.
 #[tokio::test]
@@ -118,6 +136,20 @@
     assert!(matches!(answer, RelayAnswer::Response { status: 200, .. }));
 }
 
+/// Guards against a burst at a leaving agent that is refused although its
+/// siblings could queue it.
+#[tokio::test]
+async fn relays_of_a_leaving_agent_may_wait() {
+    let all = Agents::start(2).await;
+    tokio::time::sleep(POLLED).await;
+    all.agents[0].handler().drain();
+    let address = all.agents[0].caller;
+    let calls: tokio::task::JoinSet<_> = (0..16)
+        .map(|_| async move { once(address, "GET /read?delay=30", "", "").await.status })
+        .collect();
+    assert_eq!(calls.join_all().await, [200; 16]);
+}
+
 /// Guards against a cut or late response of a sibling that passes as complete
 /// or as not run.
 #[tokio::test]
--- a/crates/state/src/declare.rs
+++ b/crates/state/src/declare.rs
@@ -14,8 +14,11 @@
 /// Most services; the design size has 2,100.
 pub const MAX_SERVICES: usize = 4_096;
 
+/// Retired services listed for nodes; a node that missed more gets everything anew.
+pub const MAX_RETIRED: usize = 4_096;
+
 /// Longest author in bytes.
-const MAX_AUTHOR: usize = 128;
+pub const MAX_AUTHOR: usize = 128;
 
 /// Service numbers per region; a service id has 24 bits below its region.
 const MAX_NUMBER: u32 = (1 << 24) - 1;
@@ -112,9 +115,8 @@
 
     /// Refuses a bad author, an unknown kind and an unexpected version.
     fn check_request(&self, named: &Named<'_>) -> Option<Outcome> {
-        if named.author.is_empty() || named.author.len() > MAX_AUTHOR {
-            let message = format!("the author must have 1 to {MAX_AUTHOR} bytes");
-            return Some(Outcome::invalid(message));
+        if let Some(refused) = check_author(named.author) {
+            return Some(refused);
         }
         if !matches!(named.kind, "profile" | "service") {
             let message = format!("kind {:?} is not profile or service", named.kind);
@@ -195,7 +197,8 @@
             body: service.clone(),
         };
         self.services.insert(service.name.clone(), entry);
-        self.tables.insert(id, TableLog::new(id, self.now));
+        self.tables
+            .insert(id, TableLog::new(id, self.now, self.index));
     }
 
     fn retire_profile(&mut self, name: &str) -> Option<Outcome> {
@@ -230,11 +233,19 @@
         self.services.retain(|service, _| service.as_str() != name);
         self.tables.remove(&id);
         self.keys.remove(&id);
+        self.note_retired(id);
         self.burn.forget(id);
         self.config = self.config.next();
         None
     }
 
+    fn note_retired(&mut self, id: ServiceId) {
+        self.retired.push_back((self.index, id));
+        if self.retired.len() > MAX_RETIRED {
+            self.forgotten = self.retired.pop_front().map_or(0, |(index, _)| index);
+        }
+    }
+
     /// A declaration with its version.
     #[must_use]
     pub fn stored(&self, kind: &str, name: &str) -> Option<Stored> {
@@ -277,6 +288,12 @@
     }
 }
 
+/// Refuses an author that is missing or too long for the audit record.
+pub(crate) fn check_author(author: &str) -> Option<Outcome> {
+    let fits = (1..=MAX_AUTHOR).contains(&author.len());
+    (!fits).then(|| Outcome::invalid(format!("the author must have 1 to {MAX_AUTHOR} bytes")))
+}
+
 fn findings(list: &[Box<str>]) -> Option<Outcome> {
     (!list.is_empty()).then(|| Outcome::invalid(list.join("; ")))
 }
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -1,6 +1,6 @@
 //! The state and how commands change it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use api::{Announce, AuditEntry, AuditEvent, BurnBatch, KeyMember, KeySet, Table};
 use burn::Ledger;
@@ -28,6 +28,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     pub(crate) index: u64,
+    /// Index of the last command that nodes may need.
+    news: u64,
     /// Newest time of a command; never goes back.
     pub(crate) now: Millis,
     pub(crate) config: Version,
@@ -37,6 +39,10 @@
     pub(crate) last_service: u32,
     pub(crate) tables: BTreeMap<ServiceId, TableLog>,
     pub(crate) keys: BTreeMap<ServiceId, KeyLog>,
+    /// Retired services with the log index of their retirement, oldest first.
+    pub(crate) retired: VecDeque<(u64, ServiceId)>,
+    /// Log index of the newest retirement that is no longer listed.
+    pub(crate) forgotten: u64,
     pub(crate) horizon: Millis,
     pub(crate) plans: BTreeMap<u64, Plan>,
     pub(crate) last_plan: u64,
@@ -55,7 +61,13 @@
         }
         self.index = index;
         match Command::decode(command) {
-            Ok(command) => self.run(&command).encode(),
+            Ok(command) => {
+                let outcome = self.run(&command);
+                if concerns_nodes(&command.action) {
+                    self.news = index;
+                }
+                outcome.encode()
+            }
             Err(e) => Outcome::invalid(e.to_string()).encode(),
         }
     }
@@ -128,7 +140,7 @@
             let applied = self
                 .tables
                 .get_mut(&change.service)
-                .and_then(|log| log.apply(self.now, change));
+                .and_then(|log| log.apply(self.now, self.index, change));
             let Some(applied) = applied else { continue };
             let put = applied.put.iter().map(|m| (&m.host, m.state.to_string()));
             let gone = applied.gone.iter().map(|(host, _)| (host, "gone".into()));
@@ -151,7 +163,7 @@
         let window = profile.map_or(Millis(0), |entry| entry.body.keys.window_ms);
         let before = self.now.since(Millis(window.0 + KEY_SLACK_MS));
         let log = self.keys.entry(service).or_default();
-        log.add(self.horizon, members);
+        log.add(self.horizon, self.index, members);
         log.prune(before);
         Outcome::Done
     }
@@ -214,6 +226,12 @@
         self.index
     }
 
+    /// Index of the last command that may change the answer to a long poll.
+    #[must_use]
+    pub fn news(&self) -> u64 {
+        self.news
+    }
+
     /// Newest time of a command.
     #[must_use]
     pub fn now(&self) -> Millis {
@@ -277,3 +295,16 @@
 fn digest<T: Serialize>(request: &T) -> u64 {
     xxh3_64(&rmp_serde::to_vec_named(request).unwrap_or_default())
 }
+
+/// Whether nodes hold anything that an action may change. Counts of agents come
+/// four times per second and must not wake every long poll.
+fn concerns_nodes(action: &Action) -> bool {
+    match action {
+        Action::Burn(_) | Action::InForce { .. } | Action::Announce(_) => false,
+        Action::Put { .. }
+        | Action::Retire { .. }
+        | Action::Members(_)
+        | Action::KeySet { .. }
+        | Action::Horizon(_) => true,
+    }
+}
