Report an unknown outcome when a retry is refused after a begun attempt

An idempotent request whose first attempt broke without a response was tried again; when the next attempt found no slot or a draining agent, its refusal (not-run) was the answer. Change: after an attempt that may have begun, every refusal becomes unknown. Ruled out: relays, whose siblings report unknown for a broken exchange.

--- a/crates/requests/src/forward.rs
+++ b/crates/requests/src/forward.rs
@@ -171,9 +171,25 @@
 
     /// Runs the request here or at a sibling, again where that is safe.
     async fn attempts(
+        &mut self,
+        shared: &Arc<Shared>,
+        body: Upload,
+    ) -> Result<Response<Download>, Refusal> {
+        let mut begun = false;
+        let result = self.attempt_all(shared, body, &mut begun).await;
+        // An earlier attempt began, so a later one that was not run proves nothing.
+        result.map_err(|refusal| match refusal.outcome {
+            Outcome::NotRun | Outcome::AttemptNotRun if begun => Refusal::unknown(refusal.reason),
+            _ => refusal,
+        })
+    }
+
+    /// Sets `begun` once an attempt may have begun without a response.
+    async fn attempt_all(
         &mut self,
         shared: &Arc<Shared>,
         mut body: Upload,
+        begun: &mut bool,
     ) -> Result<Response<Download>, Refusal> {
         let retry = self.call.config.profile.retry.clone();
         let mut tried = Vec::new();
@@ -196,7 +212,11 @@
                     body = waited;
                     continue;
                 }
-                Failed::NotBegun(body, refusal) | Failed::Again(body, refusal) => (body, refusal),
+                Failed::NotBegun(body, refusal) => (body, refusal),
+                Failed::Again(body, refusal) => {
+                    *begun = true;
+                    (body, refusal)
+                }
             };
             number += 1;
             let wait = {
--- a/crates/requests/tests/suite/relays.rs
+++ b/crates/requests/tests/suite/relays.rs
@@ -188,3 +188,18 @@
     let answer = once(all.agents[0].caller, "GET /read", "", "").await;
     assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
 }
+
+/// Guards against "not run" for an idempotent request whose first attempt began and broke, and whose
+/// next attempt finds no place.
+#[tokio::test]
+async fn a_retry_that_is_refused_leaves_the_outcome_unknown() {
+    let all = Agents::start(1).await;
+    let address = all.agents[0].caller;
+    let call =
+        tokio::spawn(async move { once(address, "GET /read?act=close&delay=200", "", "").await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    all.agents[0].handler().drain();
+    let answer = call.await.unwrap();
+    assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
+    assert_eq!(all.began("/read"), 1);
+}
