Let status tell scripts that a change is not in force

Cause: status returned 0 while a change was not in force everywhere; the operators' guide and the issue ask for an exit code that scripts can use. Change: exit code 4 in that case.

--- a/bin/jacinthsill/src/cli.rs
+++ b/bin/jacinthsill/src/cli.rs
@@ -125,7 +125,8 @@
             /// Operator key of an earlier attempt whose outcome is unknown.
             optional --key key: String
         }
-        /// Shows control replicas, nodes and the newest change.
+        /// Shows control replicas, nodes and the newest change; exit code 4 if it is not in force
+        /// everywhere.
         cmd status {
         }
         /// Shows burn rates, silent agents, flows and every change.
--- a/bin/jacinthsill/src/command/read.rs
+++ b/bin/jacinthsill/src/command/read.rs
@@ -25,7 +25,10 @@
 pub async fn status(context: &Context) -> Result<Code, CliError> {
     let status: Status = context.client.get("status", path::STATUS).await?;
     text::print(context.output, &status, |out| text::status(out, &status));
-    Ok(Code::Done)
+    Ok(match status.pending {
+        Some(_) => Code::Differs,
+        None => Code::Done,
+    })
 }
 
 pub async fn report(context: &Context) -> Result<Code, CliError> {
--- a/bin/jacinthsill/tests/all/operators.rs
+++ b/bin/jacinthsill/tests/all/operators.rs
@@ -186,10 +186,13 @@
     let text = String::from_utf8(output.stderr).unwrap();
     assert_eq!(output.status.code(), Some(4), "{text}");
     assert!(text.contains("missing at lagging"), "{text}");
+    let (code, text) = jacinthsill(&control, &["status"]);
+    assert_eq!(code, 4, "{text}");
     config.store(2, Ordering::SeqCst);
     let (code, text) = jacinthsill(&control, &["apply", &folder, "--wait", "10"]);
     assert_eq!(code, 0);
     assert!(text.contains("in force everywhere"), "{text}");
+    assert_eq!(jacinthsill(&control, &["status"]).0, 0);
     stop.store(true, Ordering::SeqCst);
     node.join().unwrap();
 }
