Declare routes, and replace a whole configuration by its revision

Cause: the users' platform sends one whole configuration with a rising number; its addresses lead to weighted services. The product had one address a service and compare-and-set of single declarations only.

Change: declaration kind route (address to weighted services of protocol opaque), command Replace with a Deployment that takes the place of all declarations if its revision is higher, the operator's document kept as sent, route deltas in the long poll. Services that a route led to earlier stay listed with it for flows that are still open there. Key sets and the horizon are no longer kept for opaque services, which have no keys. The three copies of a byte type became units::Blob.

Ruled out: a second state machine beside the declarations; it would need its own tables, deltas and retirement.

--- a/bin/balancer/src/routes.rs
+++ b/bin/balancer/src/routes.rs
@@ -35,7 +35,9 @@
             ..Self::default()
         };
         for (id, service) in &view.services {
-            let address = service.service.address;
+            let Some(address) = service.service.address else {
+                continue;
+            };
             next.own.insert(*address.ip());
             let Some(tables) = view.tables.get(id) else {
                 next.by_address.insert(address, None);
--- a/bin/control/src/http/answer.rs
+++ b/bin/control/src/http/answer.rs
@@ -57,6 +57,7 @@
 pub fn outcome(result: Result<Outcome, ProposeError>) -> Reply {
     match result {
         Ok(Outcome::Put(reply)) => json(StatusCode::OK, &reply),
+        Ok(Outcome::Replaced(reply)) => json(StatusCode::OK, &reply),
         Ok(Outcome::Announced(reply)) => json(StatusCode::OK, &reply),
         Ok(Outcome::Conflict(conflict)) => json(StatusCode::CONFLICT, &conflict),
         Ok(Outcome::Refused(refusal)) => match refusal {
--- a/bin/control/src/http/process.rs
+++ b/bin/control/src/http/process.rs
@@ -127,13 +127,13 @@
 #[endpoint { method = POST, path = "/v1/replicate" }]
 pub async fn replicate(context: RequestContext<Arc<Node>>, body: UntypedBody) -> Reply {
     let node = context.context();
-    let request = Request::<replica::Body>::open(&node.key, path::REPLICATE, &body)?;
+    let request = Request::<units::Blob>::open(&node.key, path::REPLICATE, &body)?;
     let replica = match node.replica() {
         Ok(replica) => replica,
         Err(e) => return unconfirmed(&e),
     };
     match replica.handle(&request.message.0).await {
-        Ok(answer) => request.reply(&node.key, &replica::Body(answer)),
+        Ok(answer) => request.reply(&node.key, &units::Blob(answer)),
         Err(e) => failure(StatusCode::SERVICE_UNAVAILABLE, e.to_string()),
     }
 }
--- a/bin/jacinthsill/src/text.rs
+++ b/bin/jacinthsill/src/text.rs
@@ -47,6 +47,7 @@
     let body = match &stored.body {
         profile::Declaration::Profile(profile) => serde_json::to_string_pretty(profile),
         profile::Declaration::Service(service) => serde_json::to_string_pretty(service),
+        profile::Declaration::Route(route) => serde_json::to_string_pretty(route),
     };
     out.extend(body.ok());
 }
@@ -61,8 +62,19 @@
             stored.version.0,
             stored.author
         );
-        if let profile::Declaration::Service(service) = &stored.body {
-            line += &format!("  {} profile {}", service.address, service.profile);
+        match &stored.body {
+            profile::Declaration::Profile(_) => {}
+            profile::Declaration::Service(service) => {
+                if let Some(address) = service.address {
+                    line += &format!("  {address}");
+                }
+                line += &format!("  profile {}", service.profile);
+            }
+            profile::Declaration::Route(route) => {
+                let names = route.targets.iter().map(|t| t.service.to_string());
+                let names: Vec<_> = names.collect();
+                line += &format!("  {} to {}", route.address, names.join(", "));
+            }
         }
         out.push(line);
     }
@@ -173,6 +185,9 @@
         let what = match &entry.event {
             AuditEvent::Put { kind, name } => format!("accepted {kind} {name}"),
             AuditEvent::Retire { kind, name } => format!("retired {kind} {name}"),
+            AuditEvent::Replace { revision } => {
+                format!("accepted whole configuration {revision}")
+            }
             AuditEvent::Announce { target, start, end } => format!(
                 "announced {} {} from {} to {}",
                 target.kind,
--- a/crates/api/src/keys.rs
+++ b/crates/api/src/keys.rs
@@ -5,7 +5,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use units::{HostName, Incarnation, Millis, QuantityError, ServiceId};
+use units::{Blob, HostName, Incarnation, Millis, QuantityError, ServiceId};
 
 /// Longest key in bytes.
 pub const MAX_KEY: usize = 128;
@@ -111,8 +111,7 @@
     /// Content type.
     pub kind: Option<Box<str>>,
     /// Body, at most [`MAX_KEPT_ANSWER`].
-    #[serde(with = "serde_bytes_vec")]
-    pub body: Vec<u8>,
+    pub body: Blob,
 }
 
 /// Outcome of an attempt that holds a claim.
@@ -142,45 +141,3 @@
     /// Incarnation of the replica that is asked.
     pub incarnation: Incarnation,
 }
-
-/// Encodes bytes as one MessagePack binary instead of an array of numbers.
-mod serde_bytes_vec {
-    use std::fmt;
-
-    use serde::de::{SeqAccess, Visitor};
-    use serde::{Deserializer, Serializer};
-
-    pub(super) fn serialize<S: Serializer>(bytes: &[u8], out: S) -> Result<S::Ok, S::Error> {
-        out.serialize_bytes(bytes)
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
-        input.deserialize_byte_buf(BytesVisitor)
-    }
-
-    struct BytesVisitor;
-
-    impl<'de> Visitor<'de> for BytesVisitor {
-        type Value = Vec<u8>;
-
-        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-            f.write_str("bytes")
-        }
-
-        fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
-            Ok(bytes.to_vec())
-        }
-
-        fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
-            Ok(bytes)
-        }
-
-        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<u8>, A::Error> {
-            let mut bytes = Vec::new();
-            while let Some(byte) = seq.next_element()? {
-                bytes.push(byte);
-            }
-            Ok(bytes)
-        }
-    }
-}
--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -3,7 +3,7 @@
 use derive_more::{Display, FromStr};
 use profile::Declaration;
 use serde::{Deserialize, Serialize};
-use units::{HostName, Millis, Version};
+use units::{HostName, Millis, Revision, Version};
 
 /// Wish to create or change a declaration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -38,6 +38,15 @@
     pub repeated: bool,
 }
 
+/// Answer to a whole configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplaceReply {
+    /// Newest revision, this one or a higher one.
+    pub revision: Revision,
+    /// Whether this request changed anything.
+    pub changed: bool,
+}
+
 /// The declaration has another version than the operator expected (status 409).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Conflict {
@@ -122,18 +131,23 @@
 pub enum AuditEvent {
     /// Created or changed.
     Put {
-        /// `profile` or `service`.
+        /// `profile`, `service` or `route`.
         kind: Box<str>,
         /// Name.
         name: Box<str>,
     },
     /// Retired.
     Retire {
-        /// `profile` or `service`.
+        /// `profile`, `service` or `route`.
         kind: Box<str>,
         /// Name.
         name: Box<str>,
     },
+    /// A whole configuration took the place of all declarations.
+    Replace {
+        /// Its revision.
+        revision: Revision,
+    },
     /// Planned change announced.
     Announce {
         /// VM.
--- a/crates/api/src/watch.rs
+++ b/crates/api/src/watch.rs
@@ -129,6 +129,30 @@
     pub version: Version,
 }
 
+/// A service that a route leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetView {
+    /// Service.
+    pub service: ServiceId,
+    /// Share of new flows relative to the other targets.
+    pub weight: u32,
+}
+
+/// A route as balancers apply it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteView {
+    /// Address that callers use.
+    pub address: SocketAddrV4,
+    /// Services for new flows.
+    pub targets: Vec<TargetView>,
+    /// Services that earlier versions led to; flows may still be open there.
+    pub former: Vec<ServiceId>,
+    /// Time within which an answer is wanted.
+    pub latency_ms: Millis,
+    /// Order under overload; 0 is refused last.
+    pub priority: u8,
+}
+
 /// What is newer than what the node holds.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WatchReply {
@@ -138,6 +162,12 @@
     pub services: Vec<ServiceView>,
     /// Services that were retired since the held version.
     pub retired: Vec<ServiceId>,
+    /// Routes that are new or differ.
+    #[serde(default)]
+    pub routes: Vec<RouteView>,
+    /// Addresses whose routes were dropped.
+    #[serde(default)]
+    pub dropped: Vec<SocketAddrV4>,
     /// Tables.
     pub tables: Vec<TableUpdate>,
     /// Key sets that the node lacks: service, number of the first one, sets in order of start.
@@ -146,6 +176,6 @@
     pub horizon: Millis,
     /// Log index that the node's view reflects after these changes.
     pub index: u64,
-    /// Everything of the scope: the node forgets services that are not in `services`.
+    /// Everything of the scope: the node forgets services and routes that are not in it.
     pub whole: bool,
 }
--- a/crates/capacity/src/fixture.rs
+++ b/crates/capacity/src/fixture.rs
@@ -77,6 +77,7 @@
         retry: Retry::default(),
         drain: Drain::default(),
         warmup_ms: Millis(10_000),
+        idle_ms: Millis(60_000),
         health: Health::default(),
         keys: Keys::default(),
         objectives: vec![Objective {
@@ -96,7 +97,7 @@
         name: name(&format!("service-{n}")),
         tenant: name(&format!("tenant-{}", n % 100)),
         profile: name(&format!("profile-{}", n % PROFILES)),
-        address: address(0x0AC0_0000, n, PORT),
+        address: Some(address(0x0AC0_0000, n, PORT)),
         region: Region(0),
     }
 }
--- a/crates/flows/examples/ownership.rs
+++ b/crates/flows/examples/ownership.rs
@@ -42,7 +42,7 @@
     let mut out = Vec::new();
     let address = segment(0, true).flow.service;
     let (id, limit) = (ServiceId(1), usize::MAX);
-    flows.handle(now, Event::Service { id, address, limit }, &mut out);
+    flows.handle(now, Event::Service { id, address: Some(address), limit }, &mut out);
     flows.handle(now, Event::Accepting(true), &mut out);
     let header = Header {
         hop: 0,
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -16,8 +16,8 @@
     Service {
         /// Service.
         id: ServiceId,
-        /// Address that callers use.
-        address: SocketAddrV4,
+        /// Address that callers use; any if it has none of its own.
+        address: Option<SocketAddrV4>,
         /// Most open flows.
         limit: usize,
     },
--- a/crates/flows/src/flows.rs
+++ b/crates/flows/src/flows.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Service {
     pub(crate) id: ServiceId,
-    pub(crate) address: SocketAddrV4,
+    pub(crate) address: Option<SocketAddrV4>,
     pub(crate) limit: usize,
 }
 
--- a/crates/flows/src/rules.rs
+++ b/crates/flows/src/rules.rs
@@ -102,7 +102,8 @@
             return Err(DropReason::OtherIncarnation);
         }
         // Flows that were opened before the service got another address go on.
-        if segment.flow.service != service.address && !self.held.contains_key(&segment.flow) {
+        let other = |address| segment.flow.service != address;
+        if service.address.is_some_and(other) && !self.held.contains_key(&segment.flow) {
             return Err(DropReason::OtherAddress);
         }
         Ok(service)
--- a/crates/flows/tests/agents.rs
+++ b/crates/flows/tests/agents.rs
@@ -119,7 +119,7 @@
             self.now,
             Event::Service {
                 id,
-                address,
+                address: Some(address),
                 limit: 100_000,
             },
             &mut out,
@@ -407,7 +407,7 @@
             world.now,
             Event::Service {
                 id,
-                address,
+                address: Some(address),
                 limit: 9,
             },
             &mut out,
--- a/crates/flows/tests/rules.rs
+++ b/crates/flows/tests/rules.rs
@@ -116,7 +116,7 @@
         let address = flow(1).service;
         rig.event(Event::Service {
             id: SERVICE,
-            address,
+            address: Some(address),
             limit: 1000,
         });
         rig.table(1, members);
--- a/crates/idempotency/tests/claims.rs
+++ b/crates/idempotency/tests/claims.rs
@@ -46,7 +46,7 @@
     let answer = KeptAnswer {
         status: 200,
         kind: None,
-        body: vec![1; 100],
+        body: units::Blob(vec![1; 100]),
     };
     Done {
         service: ServiceId(1),
--- a/crates/membership/tests/decisions.rs
+++ b/crates/membership/tests/decisions.rs
@@ -49,7 +49,7 @@
                     name: name.parse().unwrap(),
                     tenant: "t".parse().unwrap(),
                     profile: "p".parse().unwrap(),
-                    address: format!("10.0.0.1:{port}").parse().unwrap(),
+                    address: Some(format!("10.0.0.1:{port}").parse().unwrap()),
                     region: Region(0),
                 }),
             );
@@ -428,7 +428,7 @@
             name: "u".parse().unwrap(),
             tenant: "t".parse().unwrap(),
             profile: "p".parse().unwrap(),
-            address: "10.0.0.1:99".parse().unwrap(),
+            address: Some("10.0.0.1:99".parse().unwrap()),
             region: Region(0),
         }),
     );
--- a/crates/profile/src/check.rs
+++ b/crates/profile/src/check.rs
@@ -1,14 +1,19 @@
 //! Checks that a single value can't fail by itself: contradictions and unsafe values.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
 
 use jsonc::{Document, JsoncError};
+use units::ServiceName;
 
-use crate::{Declaration, Declarations, Profile, Protocol, Service, Tier};
+use crate::{Declaration, Declarations, Deployment, Profile, Protocol, Route, Service, Tier};
 
 /// Most classes in a profile.
 pub const MAX_CLASSES: usize = 32;
 
+/// Most services of a route.
+pub const MAX_TARGETS: usize = 64;
+
 /// Longest deadline in ms; a shift is shorter.
 const MAX_DEADLINE_MS: u64 = 86_400_000;
 
@@ -55,6 +60,16 @@
             };
             check_service(&place, service, files, &mut errors);
         }
+        for (index, route) in file.value.routes.iter().enumerate() {
+            let place = Place {
+                file,
+                path: format!("routes[{index}]"),
+            };
+            let protocol = |name: &ServiceName| protocol_of(files, name);
+            for (field, message) in check_route(route, protocol) {
+                errors.push(place.error(field, message));
+            }
+        }
     }
     errors
 }
@@ -69,13 +84,30 @@
     match declaration {
         Declaration::Profile(profile) => value.profiles = vec![profile.clone()],
         Declaration::Service(service) => value.services = vec![service.clone()],
+        Declaration::Route(route) => value.routes = vec![route.clone()],
     }
+    texts(&[Document::unplaced(value)])
+}
+
+impl Deployment {
+    /// Every finding, as `path: message`.
+    #[must_use]
+    pub fn findings(&self) -> Vec<Box<str>> {
+        let value = Declarations {
+            profiles: self.profiles.clone(),
+            services: self.services.clone(),
+            routes: self.routes.clone(),
+        };
+        texts(&[Document::unplaced(value)])
+    }
+}
+
+fn texts(files: &Files) -> Vec<Box<str>> {
     let text = |error: JsoncError| match error {
         JsoncError::Invalid { path, message, .. } => format!("{path}: {message}").into(),
         JsoncError::Read { .. } => error.to_string().into(),
     };
-    let files = [Document::unplaced(value)];
-    check(&files).into_iter().map(text).collect()
+    check(files).into_iter().map(text).collect()
 }
 
 struct Place<'a> {
@@ -100,6 +132,7 @@
 fn check_names(files: &Files, errors: &mut Vec<JsoncError>) {
     let mut profiles = BTreeSet::new();
     let mut services = BTreeSet::new();
+    let mut routes = BTreeSet::new();
     let mut addresses = BTreeMap::new();
     for file in files {
         for (index, profile) in file.value.profiles.iter().enumerate() {
@@ -119,15 +152,82 @@
                 );
                 errors.push(file.invalid(&format!("services[{index}].name"), message));
             }
-            if let Some(other) = addresses.insert(service.address, &service.name) {
-                let message = format!(
-                    "{} is the address of service {other} already; give each service its own",
-                    service.address
-                );
+            let Some(address) = service.address else {
+                continue;
+            };
+            if let Some(other) = addresses.insert(address, format!("service {}", service.name)) {
+                let message =
+                    format!("{address} is the address of {other} already; give each its own");
                 errors.push(file.invalid(&format!("services[{index}].address"), message));
             }
         }
+        for (index, route) in file.value.routes.iter().enumerate() {
+            if !routes.insert(&route.name) {
+                let message = format!("route {} stands twice; rename or remove one", route.name);
+                errors.push(file.invalid(&format!("routes[{index}].name"), message));
+            }
+            let address = route.address;
+            if let Some(other) = addresses.insert(address, format!("route {}", route.name)) {
+                let message =
+                    format!("{address} is the address of {other} already; give each its own");
+                errors.push(file.invalid(&format!("routes[{index}].address"), message));
+            }
+        }
+    }
+}
+
+/// Protocol of a service in the files.
+fn protocol_of(files: &Files, name: &ServiceName) -> Option<Protocol> {
+    let mut services = files.iter().flat_map(|file| &file.value.services);
+    let service = services.find(|service| service.name == *name)?;
+    let mut profiles = files.iter().flat_map(|file| &file.value.profiles);
+    let profile = profiles.find(|profile| profile.name == service.profile)?;
+    Some(profile.protocol)
+}
+
+/// Findings on a route as field and message; `protocol` gives the protocol of a declared service.
+#[must_use]
+pub fn check_route(
+    route: &Route,
+    protocol: impl Fn(&ServiceName) -> Option<Protocol>,
+) -> Vec<(&'static str, String)> {
+    let mut findings = Vec::new();
+    if !is_usable(route.address) {
+        let message = format!("{} is not an address that callers can use", route.address);
+        findings.push(("address", message));
+    }
+    if route.targets.len() > MAX_TARGETS {
+        let message = format!("{} services; at most {MAX_TARGETS}", route.targets.len());
+        findings.push(("targets", message));
+    }
+    if route.targets.iter().all(|target| target.weight == 0) {
+        let message = "no service has a weight; give at least one a weight above 0".into();
+        findings.push(("targets", message));
     }
+    for target in &route.targets {
+        let message = match protocol(&target.service) {
+            Some(Protocol::Opaque) => continue,
+            Some(other) => format!(
+                "service {} has protocol {other}; a route needs opaque",
+                target.service
+            ),
+            None => format!("service {} does not exist; declare it", target.service),
+        };
+        findings.push(("targets", message));
+    }
+    if route.deadline_ms.0 == 0 || route.deadline_ms.0 > MAX_DEADLINE_MS {
+        let message = format!(
+            "{} is out of range; use 1 to {MAX_DEADLINE_MS}",
+            route.deadline_ms
+        );
+        findings.push(("deadline_ms", message));
+    }
+    findings
+}
+
+fn is_usable(address: SocketAddrV4) -> bool {
+    let ip = address.ip();
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !ip.is_broadcast()
 }
 
 fn check_service(
@@ -149,11 +249,26 @@
         );
         errors.push(place.error("profile", message));
     }
-    let ip = service.address.ip();
-    if service.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast()
-    {
-        let message = format!("{} is not an address that callers can use", service.address);
-        errors.push(place.error("address", message));
+    let picked = files.iter().flat_map(|file| &file.value.profiles);
+    let opaque = picked
+        .filter(|profile| profile.name == service.profile)
+        .any(|profile| profile.protocol == Protocol::Opaque);
+    match service.address {
+        Some(address) if opaque => {
+            let message = format!(
+                "{address} belongs to an opaque service; declare a route with it instead"
+            );
+            errors.push(place.error("address", message));
+        }
+        Some(address) if !is_usable(address) => {
+            let message = format!("{address} is not an address that callers can use");
+            errors.push(place.error("address", message));
+        }
+        None if !opaque => {
+            let message = "callers need an address; give one as \"ip:port\"".into();
+            errors.push(place.error("address", message));
+        }
+        _ => {}
     }
 }
 
@@ -232,9 +347,11 @@
 
 fn check_classes(place: &Place<'_>, profile: &Profile, errors: &mut Vec<JsoncError>) {
     match profile.protocol {
-        Protocol::Tcp if !profile.classes.is_empty() => {
-            let message =
-                "a tcp profile can't have classes; use protocol \"http\" or remove them".into();
+        Protocol::Tcp | Protocol::Opaque if !profile.classes.is_empty() => {
+            let message = format!(
+                "a profile with protocol {} can't have classes; use \"http\" or remove them",
+                profile.protocol
+            );
             errors.push(place.error("classes", message));
         }
         Protocol::Http if profile.classes.is_empty() => {
--- a/crates/profile/src/diff.rs
+++ b/crates/profile/src/diff.rs
@@ -1,5 +1,7 @@
 //! Differences between the wanted and the accepted declarations.
 
+use std::cmp::Reverse;
+
 use derive_more::Display;
 use serde::Serialize;
 use serde_json::Value;
@@ -24,7 +26,7 @@
 pub struct Change {
     /// What would happen.
     pub change: ChangeKind,
-    /// `profile` or `service`.
+    /// `profile`, `service` or `route`.
     pub kind: Box<str>,
     /// Name.
     pub name: Box<str>,
@@ -33,7 +35,8 @@
 }
 
 /// Differences in the order in which they can be applied: profiles before the
-/// services that use them, retirements last and services first.
+/// services that use them, routes last; retirements after that in the opposite
+/// order.
 #[must_use]
 pub fn diff(accepted: &[Declaration], wanted: &[Declaration]) -> Vec<Change> {
     let find = |list: &[Declaration], d: &Declaration| {
@@ -57,21 +60,28 @@
             Some(_) => {}
         }
     }
-    changes.sort_by_key(|change| change.kind.as_ref() == "service");
+    changes.sort_by_key(|change| rank(&change.kind));
     let mut retired: Vec<_> = accepted
         .iter()
         .filter(|d| find(wanted, d).is_none())
         .map(|d| entry(ChangeKind::Retire, d, Vec::new()))
         .collect();
-    retired.sort_by_key(|change| change.kind.as_ref() == "profile");
+    retired.sort_by_key(|change| Reverse(rank(&change.kind)));
     changes.extend(retired);
     changes
 }
 
+/// Kinds in the order in which one needs the other.
+fn rank(kind: &str) -> usize {
+    let order = ["profile", "service", "route"];
+    order.iter().position(|k| *k == kind).unwrap_or(order.len())
+}
+
 fn fields(old: &Declaration, new: &Declaration) -> Vec<Box<str>> {
     let value = |d: &Declaration| match d {
         Declaration::Profile(profile) => serde_json::to_value(profile),
         Declaration::Service(service) => serde_json::to_value(service),
+        Declaration::Route(route) => serde_json::to_value(route),
     };
     let mut out = Vec::new();
     if let (Ok(old), Ok(new)) = (value(old), value(new)) {
--- a/crates/profile/src/folder.rs
+++ b/crates/profile/src/folder.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::{Declaration, Profile, Service, check};
+use crate::{Declaration, Profile, Route, Service, check};
 
 /// Declarations that can't be accepted.
 #[derive(Debug, Error)]
@@ -46,6 +46,8 @@
     pub profiles: Vec<Profile>,
     /// Services.
     pub services: Vec<Service>,
+    /// Routes.
+    pub routes: Vec<Route>,
 }
 
 /// Reads and checks every `*.jsonc` file of a folder, in the order of names.
@@ -74,9 +76,9 @@
 impl Declarations {
     fn into_list(self) -> Vec<Declaration> {
         let profiles = self.profiles.into_iter().map(Declaration::Profile);
-        profiles
-            .chain(self.services.into_iter().map(Declaration::Service))
-            .collect()
+        let services = self.services.into_iter().map(Declaration::Service);
+        let routes = self.routes.into_iter().map(Declaration::Route);
+        profiles.chain(services).chain(routes).collect()
     }
 }
 
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -1,6 +1,7 @@
-//! Declarations: profiles and services, as operators keep them in version control.
+//! Declarations: profiles, services and routes, as operators keep them in version control.
 //!
-//! A folder holds `*.jsonc` files; each has `profiles` and `services`. Reading
+//! A folder holds `*.jsonc` files; each has `profiles`, `services` and
+//! `routes`. Reading
 //! refuses unknown fields and malformed values, checking refuses
 //! contradictions and unsafe values. Every error names file, line, column,
 //! value and remedy.
@@ -10,10 +11,10 @@
 mod folder;
 mod model;
 
-pub use check::{MAX_CLASSES, check, check_one};
+pub use check::{MAX_CLASSES, MAX_TARGETS, check, check_one, check_route};
 pub use diff::{Change, ChangeKind, diff};
 pub use folder::{DeclarationError, Declarations, read_folder};
 pub use model::{
-    Class, Concurrency, Declaration, Drain, Health, Keys, Objective, Profile, Protocol, Retry,
-    Service, Tier,
+    Class, Concurrency, Declaration, Deployment, Drain, Health, Keys, Objective, Profile, Protocol,
+    Retry, Route, Service, Target, Tier,
 };
--- a/crates/profile/src/model.rs
+++ b/crates/profile/src/model.rs
@@ -4,7 +4,10 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use units::{Bytes, ClassName, Millis, Percent, ProfileName, Region, ServiceName, TenantName};
+use units::{
+    Blob, Bytes, ClassName, Millis, Percent, ProfileName, Region, Revision, RouteName, ServiceName,
+    TenantName,
+};
 
 /// How the agent treats the bytes of a flow.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -16,6 +19,8 @@
     Tcp,
     /// Parses HTTP/1.1 requests and admits each one.
     Http,
+    /// Passes packets on unchanged to a backend server that ends the flows itself.
+    Opaque,
 }
 
 /// Order in which classes are refused under overload.
@@ -222,6 +227,9 @@
     /// Time over which a new backend server's share rises.
     #[serde(default)]
     pub warmup_ms: Millis,
+    /// Time without packets after which a flow may be forgotten; `opaque` only.
+    #[serde(default = "default_idle")]
+    pub idle_ms: Millis,
     /// Health probes.
     #[serde(default)]
     pub health: Health,
@@ -233,6 +241,10 @@
     pub objectives: Vec<Objective>,
 }
 
+fn default_idle() -> Millis {
+    Millis(60_000)
+}
+
 /// A service that picks a profile.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -243,13 +255,60 @@
     pub tenant: TenantName,
     /// Profile.
     pub profile: ProfileName,
-    /// Address that callers use.
-    pub address: SocketAddrV4,
+    /// Address that callers use; left out if only routes lead to the service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddrV4>,
     /// Region that decides its members.
     #[serde(default)]
     pub region: Region,
 }
 
+/// A service that a route leads to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Service, with an `opaque` profile.
+    pub service: ServiceName,
+    /// Share of the route's new flows, relative to the other targets.
+    pub weight: u32,
+}
+
+/// An address whose new flows go to one or more services.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name.
+    pub name: RouteName,
+    /// Address that callers use.
+    pub address: SocketAddrV4,
+    /// Services; their weights add up to more than 0.
+    pub targets: Vec<Target>,
+    /// Whether running a request twice equals running it once.
+    pub idempotent: bool,
+    /// Time from a request's start until its answer is of no use.
+    pub deadline_ms: Millis,
+    /// Time within which an answer is wanted.
+    pub latency_ms: Millis,
+    /// Order under overload; 0 is refused last.
+    #[serde(default)]
+    pub priority: u8,
+}
+
+/// A whole configuration; takes the place of the one before if its revision is higher.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Deployment {
+    /// Revision.
+    pub revision: Revision,
+    /// Profiles.
+    pub profiles: Vec<Profile>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// The operator's document as it came; it is read back unchanged.
+    pub source: Blob,
+}
+
 /// One declaration as it is accepted or retired.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -258,15 +317,18 @@
     Profile(Profile),
     /// Service.
     Service(Service),
+    /// Route.
+    Route(Route),
 }
 
 impl Declaration {
-    /// `profile` or `service`.
+    /// `profile`, `service` or `route`.
     #[must_use]
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Profile(_) => "profile",
             Self::Service(_) => "service",
+            Self::Route(_) => "route",
         }
     }
 
@@ -276,6 +338,7 @@
         match self {
             Self::Profile(profile) => profile.name.as_str(),
             Self::Service(service) => service.name.as_str(),
+            Self::Route(route) => route.name.as_str(),
         }
     }
 }
--- a/crates/replica/examples/measure.rs
+++ b/crates/replica/examples/measure.rs
@@ -68,7 +68,7 @@
     let slot = context.context();
     slot.bytes
         .fetch_add(body.as_bytes().len() as u64, Ordering::Relaxed);
-    let request = rpc::Request::<replica::Body>::open(&key(), api::path::REPLICATE, &body)?;
+    let request = rpc::Request::<units::Blob>::open(&key(), api::path::REPLICATE, &body)?;
     let Some(replica) = slot.replica() else {
         return rpc::refuse(StatusCode::SERVICE_UNAVAILABLE, "starting");
     };
@@ -80,7 +80,7 @@
         tokio::time::sleep(slot.delay).await;
     }
     match answer {
-        Ok(answer) => request.reply(&key(), &replica::Body(answer)),
+        Ok(answer) => request.reply(&key(), &units::Blob(answer)),
         Err(error) => rpc::refuse(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
     }
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -5,9 +5,9 @@
 //! of [`MAX_BODY`] bytes:
 //!
 //! ```text
-//! let request = rpc::Request::<replica::Body>::open(&key, api::path::REPLICATE, &body)?;
+//! let request = rpc::Request::<units::Blob>::open(&key, api::path::REPLICATE, &body)?;
 //! let answer = replica.handle(&request.message.0).await?;
-//! request.reply(&key, &replica::Body(answer))
+//! request.reply(&key, &units::Blob(answer))
 //! ```
 //!
 //! [`Replica::start`] returns before the replica takes part, so that the server
@@ -18,7 +18,6 @@
 //! One task holds the decisions, one thread the files, one the state machine.
 //! Requests that arrive while a write is synced share the next write.
 
-mod body;
 mod core;
 mod disk;
 mod error;
@@ -32,7 +31,9 @@
 mod wire;
 mod work;
 
-pub use body::{Body, MAX_BODY};
+/// Largest body of a request to [`api::path::REPLICATE`] in bytes, with its tag.
+pub const MAX_BODY: usize = 8 << 20;
+
 pub use error::{ProposeError, ReplicaError};
 pub use handle::{ApplyFn, Machine, Replica, RestoreFn, SnapshotFn};
 pub use settings::{Peer, ReplicaSettings};
--- a/crates/replica/src/peers.rs
+++ b/crates/replica/src/peers.rs
@@ -8,10 +8,10 @@
 use replication::{Body as Content, Message};
 use slog::{Logger, debug};
 use tokio::sync::{Semaphore, mpsc};
-use units::ReplicaId;
+use units::{Blob, ReplicaId};
 
 use crate::wire::{Answer, Wire};
-use crate::{Body, Peer};
+use crate::Peer;
 
 /// Messages that wait for a peer; more are dropped, the protocol repeats them.
 const QUEUE: usize = 256;
@@ -35,8 +35,8 @@
 ) -> Result<Answer, Box<str>> {
     let raw = replication::encode("request", wire).map_err(|e| e.to_string())?;
     let path = api::path::REPLICATE;
-    let answer: Body = client
-        .post(peer, path, &Body(raw), limit)
+    let answer: Blob = client
+        .post(peer, path, &Blob(raw), limit)
         .await
         .map_err(|e| e.to_string())?;
     replication::decode("answer", &answer.0).map_err(|e| e.to_string().into())
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -57,7 +57,7 @@
     let slot = context.context();
     let path = api::path::REPLICATE;
     for n in 0..10 {
-        let Ok(request) = rpc::Request::<replica::Body>::open(&key(n), path, &body) else {
+        let Ok(request) = rpc::Request::<units::Blob>::open(&key(n), path, &body) else {
             continue;
         };
         let replica = slot.replica.lock().expect("slot").clone();
@@ -66,7 +66,7 @@
             return rpc::refuse(StatusCode::SERVICE_UNAVAILABLE, "not reachable");
         };
         return match replica.handle(&request.message.0).await {
-            Ok(answer) => request.reply(&key(n), &replica::Body(answer)),
+            Ok(answer) => request.reply(&key(n), &units::Blob(answer)),
             Err(e) => rpc::refuse(StatusCode::SERVICE_UNAVAILABLE, &e.to_string()),
         };
     }
--- a/crates/requests/src/claims.rs
+++ b/crates/requests/src/claims.rs
@@ -240,7 +240,7 @@
 
 /// Response that replicas kept.
 pub(crate) fn kept_response(answer: KeptAnswer) -> http::Response<Download> {
-    let mut response = http::Response::new(Download::full(answer.body.into()));
+    let mut response = http::Response::new(Download::full(answer.body.0.into()));
     if let Ok(status) = StatusCode::from_u16(answer.status) {
         *response.status_mut() = status;
     }
--- a/crates/requests/src/exchange.rs
+++ b/crates/requests/src/exchange.rs
@@ -43,7 +43,7 @@
         if kept.body.len() + data.len() > MAX_KEPT_ANSWER {
             self.kept = None;
         } else {
-            kept.body.extend_from_slice(data);
+            kept.body.0.extend_from_slice(data);
         }
     }
 
--- a/crates/requests/src/forward.rs
+++ b/crates/requests/src/forward.rs
@@ -430,7 +430,7 @@
         kind: kind
             .and_then(|kind| kind.to_str().ok())
             .map(|kind| kind.into()),
-        body: body.to_vec(),
+        body: units::Blob(body.to_vec()),
     })
 }
 
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands in the log and their outcomes.
 
-use api::{Announce, Announced, BurnBatch, Conflict, KeyMember, Member, PutReply};
-use profile::Declaration;
+use api::{Announce, Announced, BurnBatch, Conflict, KeyMember, Member, PutReply, ReplaceReply};
+use profile::{Declaration, Deployment};
 use serde::{Deserialize, Serialize};
 use units::{HostName, Incarnation, Millis, ServiceId, Version};
 
@@ -36,7 +36,7 @@
     },
     /// An operator retires a declaration.
     Retire {
-        /// `profile` or `service`.
+        /// `profile`, `service` or `route`.
         kind: Box<str>,
         /// Name.
         name: Box<str>,
@@ -47,6 +47,13 @@
         /// Who.
         author: Box<str>,
     },
+    /// An operator gives a whole configuration.
+    Replace {
+        /// Who.
+        author: Box<str>,
+        /// Configuration.
+        deployment: Box<Deployment>,
+    },
     /// An operator announces a planned change.
     Announce(Announce),
     /// Members joined, changed or left.
@@ -91,6 +98,8 @@
     Done,
     /// A declaration was accepted or retired.
     Put(PutReply),
+    /// A whole configuration was accepted, or a higher revision is held.
+    Replaced(ReplaceReply),
     /// The declaration has another version.
     Conflict(Conflict),
     /// A planned change was accepted.
--- a/crates/state/src/declare.rs
+++ b/crates/state/src/declare.rs
@@ -1,9 +1,9 @@
 //! Creating, changing and retiring declarations.
 
 use api::{AuditEvent, Conflict, PutReply, Stored};
-use profile::{Declaration, Profile, Service};
+use profile::{Declaration, Profile, Route, Service};
 use serde::{Deserialize, Serialize};
-use units::{ServiceId, Version};
+use units::{ServiceId, ServiceName, Version};
 
 use crate::table_log::TableLog;
 use crate::{Outcome, State};
@@ -66,21 +66,16 @@
         let refused = match body {
             Declaration::Profile(profile) => self.check_profile(profile),
             Declaration::Service(service) => self.check_service(service),
+            Declaration::Route(route) => self.check_route(route),
         };
         if let Some(refused) = refused {
             return refused;
         }
         self.config = self.config.next();
         match body {
-            Declaration::Profile(profile) => {
-                let entry = ProfileEntry {
-                    version: self.config,
-                    author: author.into(),
-                    body: profile.clone(),
-                };
-                self.profiles.insert(profile.name.clone(), entry);
-            }
+            Declaration::Profile(profile) => self.store_profile(author, profile),
             Declaration::Service(service) => self.put_service(author, service),
+            Declaration::Route(route) => self.store_route(author, route),
         }
         self.accepted(&named, true)
     }
@@ -94,6 +89,7 @@
         }
         let refused = match named.kind {
             "profile" => self.retire_profile(named.name),
+            "route" => self.retire_route(named.name),
             _ => self.retire_service(named.name),
         };
         refused.unwrap_or_else(|| self.accepted(named, false))
@@ -118,8 +114,8 @@
         if let Some(refused) = check_author(named.author) {
             return Some(refused);
         }
-        if !matches!(named.kind, "profile" | "service") {
-            let message = format!("kind {:?} is not profile or service", named.kind);
+        if !matches!(named.kind, "profile" | "service" | "route") {
+            let message = format!("kind {:?} is not profile, service or route", named.kind);
             return Some(Outcome::invalid(message));
         }
         let current = self.stored(named.kind, named.name);
@@ -152,10 +148,13 @@
         };
         let mut others = self.services.values().map(|entry| &entry.body);
         let same = |s: &&Service| s.address == service.address && s.name != service.name;
-        if let Some(other) = others.find(same) {
+        if let Some(address) = service.address
+            && let Some(other) = others.find(same)
+        {
             return Some(Outcome::invalid(format!(
-                "service {}: {} is the address of service {} already; give each service its own",
-                service.name, service.address, other.name
+                "service {}: {address} is the address of service {} already; give each service \
+                 its own",
+                service.name, other.name
             )));
         }
         if let Some(entry) = self.services.get(&service.name) {
@@ -180,7 +179,21 @@
         findings(&profile::check_one(&declaration, Some(&picked.body)))
     }
 
-    fn put_service(&mut self, author: &str, service: &Service) {
+    /// Keeps a profile; one that did not change keeps its version.
+    pub(crate) fn store_profile(&mut self, author: &str, profile: &Profile) {
+        let held = self.profiles.get(&profile.name);
+        if held.is_some_and(|entry| entry.body == *profile) {
+            return;
+        }
+        let entry = ProfileEntry {
+            version: self.config,
+            author: author.into(),
+            body: profile.clone(),
+        };
+        self.profiles.insert(profile.name.clone(), entry);
+    }
+
+    pub(crate) fn put_service(&mut self, author: &str, service: &Service) {
         let (version, author) = (self.config, author.into());
         if let Some(entry) = self.services.get_mut(&service.name) {
             entry.version = version;
@@ -230,19 +243,36 @@
                  them first"
             )));
         }
-        self.services.retain(|service, _| service.as_str() != name);
-        self.tables.remove(&id);
-        self.keys.remove(&id);
-        self.note_retired(id);
-        self.burn.forget(id);
+        let mut routes = self.routes.values().map(|entry| &entry.body);
+        let leads = |r: &&Route| r.targets.iter().any(|t| t.service.as_str() == name);
+        if let Some(route) = routes.find(leads) {
+            return Some(Outcome::invalid(format!(
+                "route {} leads to service {name}; change or retire the route first",
+                route.name
+            )));
+        }
+        let name = entry?.body.name.clone();
+        self.remove_service(&name);
         self.config = self.config.next();
         None
     }
 
+    /// Removes a service with its table.
+    pub(crate) fn remove_service(&mut self, name: &ServiceName) {
+        let Some(entry) = self.services.remove(name) else {
+            return;
+        };
+        self.tables.remove(&entry.id);
+        self.keys.remove(&entry.id);
+        self.note_retired(entry.id);
+        self.burn.forget(entry.id);
+    }
+
     fn note_retired(&mut self, id: ServiceId) {
         self.retired.push_back((self.index, id));
         if self.retired.len() > MAX_RETIRED {
-            self.forgotten = self.retired.pop_front().map_or(0, |(index, _)| index);
+            let oldest = self.retired.pop_front().map_or(0, |(index, _)| index);
+            self.forgotten = self.forgotten.max(oldest);
         }
     }
 
@@ -258,16 +288,18 @@
                 let entry = self.services.get(&name.parse().ok()?)?;
                 Some(stored_service(entry))
             }
+            "route" => self.stored_route(name),
             _ => None,
         }
     }
 
-    /// Every declaration, profiles first.
+    /// Every declaration: profiles, services, routes.
     #[must_use]
     pub fn declarations(&self) -> Vec<Stored> {
         let profiles = self.profiles.values().map(stored_profile);
         profiles
             .chain(self.services.values().map(stored_service))
+            .chain(self.stored_routes())
             .collect()
     }
 }
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -1,9 +1,11 @@
 //! The state and how commands change it.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
 
 use api::{Announce, AuditEntry, AuditEvent, BurnBatch, KeyMember, KeySet, Table};
 use burn::Ledger;
+use profile::Protocol;
 use serde::{Deserialize, Serialize};
 use units::{HostName, Incarnation, Millis, ProfileName, ServiceId, ServiceName, Version};
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,6 +14,7 @@
 use crate::audit::Audit;
 use crate::declare::{Named, ProfileEntry};
 use crate::key_log::KeyLog;
+use crate::routes::{Replaced, RouteEntry};
 use crate::table_log::TableLog;
 use crate::{Action, Command, Outcome, Plan, ServiceEntry, StateError, TableChange};
 
@@ -43,6 +46,13 @@
     pub(crate) retired: VecDeque<(u64, ServiceId)>,
     /// Log index of the newest retirement that is no longer listed.
     pub(crate) forgotten: u64,
+    #[serde(default)]
+    pub(crate) routes: BTreeMap<SocketAddrV4, RouteEntry>,
+    /// Addresses of dropped routes with the log index of the change, oldest first.
+    #[serde(default)]
+    pub(crate) dropped: VecDeque<(u64, SocketAddrV4)>,
+    #[serde(default)]
+    pub(crate) replaced: Option<Replaced>,
     pub(crate) horizon: Millis,
     pub(crate) plans: BTreeMap<u64, Plan>,
     pub(crate) last_plan: u64,
@@ -100,6 +110,7 @@
                 let digest = digest(&(kind, name, expected, author));
                 self.once(key, digest, |state| state.retire(&named))
             }
+            Action::Replace { author, deployment } => self.replace(author, deployment),
             Action::Announce(request) => self.announce_once(request),
             Action::Members(changes) => self.members(changes),
             Action::KeySet { service, members } => self.key_set(*service, members),
@@ -284,6 +295,14 @@
         self.tables.get(&service)?.known(host)
     }
 
+    /// Whether agents of a service remember idempotency keys.
+    #[must_use]
+    pub fn keeps_keys(&self, service: ServiceId) -> bool {
+        let entry = self.services.values().find(|entry| entry.id == service);
+        let profile = entry.and_then(|entry| self.profiles.get(&entry.body.profile));
+        profile.is_some_and(|profile| profile.body.protocol != Protocol::Opaque)
+    }
+
     /// Newest key set of a service.
     #[must_use]
     pub fn key_set_of(&self, service: ServiceId) -> Option<&KeySet> {
@@ -303,6 +322,7 @@
         Action::Burn(_) | Action::InForce { .. } | Action::Announce(_) => false,
         Action::Put { .. }
         | Action::Retire { .. }
+        | Action::Replace { .. }
         | Action::Members(_)
         | Action::KeySet { .. }
         | Action::Horizon(_) => true,
--- a/crates/state/src/watch.rs
+++ b/crates/state/src/watch.rs
@@ -34,10 +34,16 @@
                 reply.keys.push((entry.id, first, sets));
             }
         }
+        if !agent {
+            reply.routes = self.routes_since(index);
+            reply.dropped = self.dropped_since(index);
+        }
         reply.retired = self.retired_since(index);
         let changed = reply.config > watch.config
             || !reply.services.is_empty()
             || !reply.retired.is_empty()
+            || !reply.routes.is_empty()
+            || !reply.dropped.is_empty()
             || !reply.tables.is_empty()
             || !reply.keys.is_empty()
             || agent && self.horizon > watch.horizon;
--- a/crates/state/tests/all/common.rs
+++ b/crates/state/tests/all/common.rs
@@ -110,7 +110,7 @@
         name: name.parse().unwrap(),
         tenant: "t".parse().unwrap(),
         profile: profile.parse().unwrap(),
-        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 80),
+        address: Some(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 80)),
         region: Default::default(),
     })
 }
--- a/crates/units/src/id.rs
+++ b/crates/units/src/id.rs
@@ -33,6 +33,11 @@
     Version,
     u64
 );
+number!(
+    /// Number that operators give to a whole configuration; the highest one counts.
+    Revision,
+    u64
+);
 number!(
     /// Start time of a process in Unix ms; rises with every start on a host.
     Incarnation,
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -4,12 +4,16 @@
 //! epoch can't be passed for a version or a service id for a port. All of
 //! them implement `Display` and `FromStr`.
 
+mod blob;
 mod flow;
 mod id;
 mod name;
 mod quantity;
 
+pub use blob::Blob;
 pub use flow::Flow;
-pub use id::{Epoch, Incarnation, Region, ReplicaId, ServiceId, Version};
-pub use name::{ClassName, DataCentre, HostName, NameError, ProfileName, ServiceName, TenantName};
+pub use id::{Epoch, Incarnation, Region, ReplicaId, Revision, ServiceId, Version};
+pub use name::{
+    ClassName, DataCentre, HostName, NameError, ProfileName, RouteName, ServiceName, TenantName,
+};
 pub use quantity::{Bytes, Millis, Percent, QuantityError, Slots, Weight};
--- a/crates/units/src/name.rs
+++ b/crates/units/src/name.rs
@@ -91,6 +91,11 @@
     ProfileName,
     "profile name"
 );
+name!(
+    /// Route.
+    RouteName,
+    "route name"
+);
 name!(
     /// Firm that owns a service; tenants never share one.
     TenantName,
--- a/crates/watcher/src/view.rs
+++ b/crates/watcher/src/view.rs
@@ -1,9 +1,10 @@
 //! What a node knows of its services.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use api::{KeySet, ServiceView, Table, TableUpdate, WatchReply};
+use api::{KeySet, RouteView, ServiceView, Table, TableUpdate, WatchReply};
 use tokio::time::Instant;
 use units::{Millis, ServiceId, Version};
 
@@ -31,6 +32,8 @@
     pub config: Version,
     /// Services with their profiles.
     pub services: BTreeMap<ServiceId, Arc<ServiceView>>,
+    /// Routes by address.
+    pub routes: Arc<BTreeMap<SocketAddrV4, Arc<RouteView>>>,
     /// Members.
     pub tables: BTreeMap<ServiceId, Tables>,
     /// Key sets in order of start.
@@ -73,6 +76,7 @@
         for service in reply.retired.iter().chain(absent) {
             changed |= next.forget(*service);
         }
+        changed |= next.put_routes(reply);
         for update in &reply.tables {
             changed |= next.put_table(update, now);
         }
@@ -100,6 +104,26 @@
         newer
     }
 
+    fn put_routes(&mut self, reply: &WatchReply) -> bool {
+        if reply.routes.is_empty() && reply.dropped.is_empty() && !reply.whole {
+            return false;
+        }
+        let mut routes = if reply.whole {
+            BTreeMap::new()
+        } else {
+            BTreeMap::clone(&self.routes)
+        };
+        for address in &reply.dropped {
+            routes.remove(address);
+        }
+        for route in &reply.routes {
+            routes.insert(route.address, Arc::new(route.clone()));
+        }
+        let changed = *self.routes != routes;
+        self.routes = Arc::new(routes);
+        changed
+    }
+
     fn put_table(&mut self, update: &TableUpdate, now: Instant) -> bool {
         let service = match update {
             TableUpdate::Snapshot(table) => table.service,
--- a/crates/watcher/tests/view.rs
+++ b/crates/watcher/tests/view.rs
@@ -34,6 +34,7 @@
         concurrency: profile::Concurrency::default(),
         retry: profile::Retry::default(),
         drain: profile::Drain::default(),
+        idle_ms: Millis(60_000),
         warmup_ms: Millis(0),
         health: profile::Health::default(),
         keys: profile::Keys::default(),
@@ -43,7 +44,7 @@
         name: "s".parse().unwrap(),
         tenant: "t".parse().unwrap(),
         profile: profile.name.clone(),
-        address: "10.9.0.1:80".parse().unwrap(),
+        address: Some("10.9.0.1:80".parse().unwrap()),
         region: units::Region(0),
     };
     ServiceView {
--- a/tests/e2e/tests/p8_changes.rs
+++ b/tests/e2e/tests/p8_changes.rs
@@ -23,7 +23,7 @@
 fn queue_of(stored: &Stored) -> u64 {
     match &stored.body {
         Declaration::Profile(profile) => profile.concurrency.queue.into(),
-        Declaration::Service(_) => 0,
+        Declaration::Service(_) | Declaration::Route(_) => 0,
     }
 }
 
