Search siblings for unknown flows after a restart

Cause: agents that all restarted have lost held flows and redirects; a packet visited its home and one agent of each other data centre, so flows owned by another agent of the data centre stayed silent until the caller's deadline.

Ruled out: asking all members at once, which would offer each packet to every host.

--- a/crates/forwarding/src/homes.rs
+++ b/crates/forwarding/src/homes.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Tells the home of a flow that was learned from the backend server; where it entered is not
+    /// known, and most flows stay in their data centre.
+    pub(crate) fn register_learned(&mut self, now: Instant, flow: &Flow, out: &mut Vec<Action>) {
+        let home = self.home(flow, None);
+        if let Some(held) = self.held.get_mut(flow) {
+            held.home = home;
+        }
+        self.register(now, flow, out);
+    }
+
     /// Registers every flow whose home moved.
     pub(crate) fn register_moved(&mut self, now: Instant, out: &mut Vec<Action>) {
         let mut moved: Vec<(Flow, Candidate)> = self
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -18,6 +18,9 @@
             // This agent started after the flow opened, or forgot it.
             let held = self.hold(flow, now);
             held.established = !segment.syn;
+            if !segment.syn {
+                self.register_learned(now, &flow, out);
+            }
         }
         let Some(held) = self.held.get_mut(&flow) else {
             return;
@@ -48,7 +51,7 @@
             let action = if header.is_informed() && !segment.rst {
                 lost(segment)
             } else {
-                self.pass(&header, Reason::Returned)
+                self.pass(now, &flow, &header, Reason::Returned)
             };
             return out.push(action);
         }
@@ -57,7 +60,7 @@
         };
         if segment.opens() {
             let next = held.pending.take().map(|pending| {
-                let next = self.pass_pending(&pending);
+                let next = self.pass_pending(&flow, &pending);
                 next.map(|header| Action::Forward(header, Reason::Returned))
             });
             // Without the kept header the SYN is a copy of one that went on already.
--- a/crates/forwarding/src/packet.rs
+++ b/crates/forwarding/src/packet.rs
@@ -1,10 +1,17 @@
 //! Packets of callers.
 
 use tokio::time::Instant;
+use units::Flow;
 use wire::{Flags, Header, Segment};
 
 use crate::{Action, DropReason, Forwarder, Reason};
 
+/// The packet looks for its flow at agents beyond the balancer's list.
+const SEARCH: Flags = Flags {
+    lookup: true,
+    accept: false,
+};
+
 impl Forwarder {
     pub(crate) fn packet(
         &mut self,
@@ -109,22 +116,40 @@
                 reason: Reason::Lost,
             };
         }
-        let young = now < self.start + self.settings.flow_age;
+        let young = self.is_young(now);
         let older = self.backend.is_some_and(|backend| backend.older && young);
         let offers = informed || older && may_offer || header.hints.owned && older;
         if offers && !returned && self.backend.is_some() {
             self.offers.sent(flow, *header);
             return Action::Deliver(Reason::Offer);
         }
-        self.pass(header, Reason::Unknown)
+        self.pass(now, &flow, header, Reason::Unknown)
+    }
+
+    /// Whether flows may be open that this agent does not know.
+    fn is_young(&self, now: Instant) -> bool {
+        now < self.start + self.settings.flow_age
     }
 
-    /// Sends a packet that is not a SYN to the next candidate.
-    pub(crate) fn pass(&self, header: &Header, reason: Reason) -> Action {
+    /// Sends a packet that is not a SYN to the next candidate. Agents that started lately have lost
+    /// the redirects for their siblings' flows, so the search goes on beyond the list.
+    pub(crate) fn pass(
+        &self,
+        now: Instant,
+        flow: &Flow,
+        header: &Header,
+        reason: Reason,
+    ) -> Action {
         if header.has_next() {
-            Action::Forward(header.next(header.flags), reason)
-        } else {
-            Action::Drop(DropReason::Unknown)
+            return Action::Forward(header.next(header.flags), reason);
+        }
+        let searches = self.is_young(now) || header.flags == SEARCH;
+        match searches
+            .then(|| self.lacking(flow, header, SEARCH))
+            .flatten()
+        {
+            Some(header) => Action::Forward(header, reason),
+            None => Action::Drop(DropReason::Unknown),
         }
     }
 }
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -1,7 +1,8 @@
 //! Placement of SYNs.
 
 use tokio::time::Instant;
-use wire::{Candidates, Flags, Header, Segment};
+use units::Flow;
+use wire::{Candidate, Candidates, Flags, Header, Segment};
 
 use crate::pending::Pending;
 use crate::{Action, Forwarder, Reason};
@@ -30,7 +31,7 @@
     ) {
         let flow = segment.flow;
         self.redirects.remove(&flow);
-        match self.place(now, header) {
+        match self.place(now, &flow, header) {
             Place::Here(reason) => {
                 self.accept(now, header, segment, inner);
                 out.push(Action::Deliver(reason));
@@ -61,16 +62,16 @@
         self.begin(&flow, now);
     }
 
-    fn place(&mut self, now: Instant, header: &Header) -> Place {
+    fn place(&mut self, now: Instant, flow: &Flow, header: &Header) -> Place {
         if header.flags.accept {
             return if self.accepts() {
                 Place::Here(Reason::Lightest)
             } else {
-                self.further(header, Reason::NotAccepting)
+                self.further(flow, header, Reason::NotAccepting)
             };
         }
         if !self.accepts() {
-            return self.onward(header, Reason::NotAccepting);
+            return self.onward(flow, header, Reason::NotAccepting);
         }
         let load = self.load();
         let mut header = *header;
@@ -79,7 +80,7 @@
             header.hints.lightest = Some((header.hop, load));
         }
         if !load.is_free() {
-            return self.onward(&header, Reason::Busy);
+            return self.onward(flow, &header, Reason::Busy);
         }
         // A sibling that passed the SYN on had a reason; only the first candidate compares.
         if header.hop == 0
@@ -113,9 +114,9 @@
     }
 
     /// The next candidate, or the lightest one visited if there is none.
-    pub(crate) fn onward_header(&self, header: &Header) -> Option<Header> {
+    fn onward_header(&self, flow: &Flow, header: &Header) -> Option<Header> {
         if header.flags.accept {
-            return self.extended(header);
+            return self.extended(flow, header);
         }
         if header.has_next() {
             return Some(header.next(header.flags));
@@ -126,50 +127,60 @@
         }
     }
 
-    fn onward(&mut self, header: &Header, reason: Reason) -> Place {
+    fn onward(&mut self, flow: &Flow, header: &Header, reason: Reason) -> Place {
         let lightest = header.hints.lightest;
         if !header.has_next() && lightest.is_some_and(|(hop, _)| hop == header.hop) {
             return Place::Here(Reason::Lightest);
         }
-        match self.onward_header(header) {
+        match self.onward_header(flow, header) {
             Some(header) => Place::There(header, reason),
-            None => self.further(header, reason),
+            None => self.further(flow, header, reason),
         }
     }
 
-    fn further(&self, header: &Header, reason: Reason) -> Place {
-        let next = self.extended(header);
+    fn further(&self, flow: &Flow, header: &Header, reason: Reason) -> Place {
+        let next = self.extended(flow, header);
         next.map_or(Place::Nowhere, |header| Place::There(header, reason))
     }
 
     /// Header for a candidate that the SYN has not visited, from the list or from the own table.
-    fn extended(&self, header: &Header) -> Option<Header> {
+    fn extended(&self, flow: &Flow, header: &Header) -> Option<Header> {
         if header.flags.accept && header.has_next() {
             return Some(header.next(ACCEPT));
         }
-        let centres = self.centres.as_ref()?;
-        let visited = |candidate: &wire::Candidate| {
+        self.lacking(flow, header, ACCEPT)
+    }
+
+    /// Header for a member that the list lacks, those of the own data centre first.
+    pub(crate) fn lacking(&self, flow: &Flow, header: &Header, flags: Flags) -> Option<Header> {
+        let own = self.service.as_ref().map(|service| &service.centre);
+        let visited = |candidate: &Candidate| {
             let mut all = header.candidates.iter();
             all.any(|known| known.address == candidate.address)
         };
-        let mut members = centres.members().map(|(_, member)| member);
-        let lacking = members.find(|member| !visited(member) && *member != self.me)?;
+        let members = self.centres.as_ref()?.members();
+        let lacking = members.filter(|(_, m)| !visited(m) && m.address != self.me.address);
+        let (near, far): (Vec<_>, Vec<_>) = lacking.partition(|(centre, _)| Some(*centre) == own);
+        let choices = if near.is_empty() { far } else { near };
+        // Spreads flows over the members.
+        let at = flow.hash() as usize % choices.len().max(1);
+        let (_, member) = choices.get(at)?;
         let mut candidates = header.candidates;
         let before = candidates.len();
-        candidates.push(lacking);
+        candidates.push(*member);
         let hop = u8::try_from(before).ok()?;
         let header = Header {
             candidates,
             ..*header
         };
-        (header.candidates.len() > before).then(|| header.at(hop, ACCEPT))
+        (header.candidates.len() > before).then(|| header.at(hop, flags))
     }
 
     /// Sends a kept SYN on after the backend server declined it or did not answer.
-    pub(crate) fn pass_pending(&self, pending: &Pending) -> Option<Header> {
+    pub(crate) fn pass_pending(&self, flow: &Flow, pending: &Pending) -> Option<Header> {
         let mut header = pending.header;
         header.hints.lightest = header.hints.lightest.filter(|(hop, _)| *hop != header.hop);
-        self.onward_header(&header)
-            .or_else(|| self.extended(&header))
+        self.onward_header(flow, &header)
+            .or_else(|| self.extended(flow, &header))
     }
 }
--- a/crates/forwarding/src/sweep.rs
+++ b/crates/forwarding/src/sweep.rs
@@ -34,7 +34,7 @@
             self.silent.get_or_insert(now);
             // The flow stays known: the backend server may be slow and answer yet.
             self.finish(&flow);
-            if let Some(header) = self.pass_pending(&pending) {
+            if let Some(header) = self.pass_pending(&flow, &pending) {
                 let inner = pending.inner;
                 out.push(Action::Resend {
                     header,
