--- a/crates/opaque/src/agent/packets.rs
+++ b/crates/opaque/src/agent/packets.rs
@@ -67,20 +67,21 @@
             let tick = self.forwarder.deadline();
             let due = lost.map_or(tick, |lost| lost.min(tick));
             tokio::select! {
-                biased;
-                Some(change) = changes.recv() => {
-                    self.update_backend(&mut buffers);
-                    // The adapter may have given up on its caller.
-                    let _ = change.done.send(());
-                }
                 _ = self.outbound.ready(Interest::READABLE) => {}
                 _ = self.packets.ready(Interest::READABLE) => {}
-                Ok(()) = views.changed() => {
-                    let view = Arc::clone(&views.borrow_and_update());
-                    self.update(&view, &mut buffers);
-                }
+                Some(change) = changes.recv() => self.change(change, &mut buffers),
+                // The watcher only ends with the process.
+                _ = views.changed() => views.mark_changed(),
                 () = sleep_until(due) => self.expire_backend(&mut buffers),
             }
+            // Looked at in every round, so that no flood of packets keeps them waiting.
+            while let Ok(change) = changes.try_recv() {
+                self.change(change, &mut buffers);
+            }
+            if views.has_changed().unwrap_or(false) {
+                let view = Arc::clone(&views.borrow_and_update());
+                self.update(&view, &mut buffers);
+            }
             // Answers first: a SYN whose answer waits is not unanswered.
             self.receive_outbound(&mut buffers);
             self.receive_packets(&mut buffers);
@@ -169,7 +170,9 @@
     fn act(&self, action: Action, packet: &[u8], flow: Flow, out: &mut Vec<u8>) {
         match action {
             Action::Deliver(reason) => {
-                debug!(self.log, "delivered"; "flow" => %flow, "reason" => %reason);
+                let load = self.forwarder.load();
+                debug!(self.log, "delivered"; "flow" => %flow, "reason" => %reason,
+                    "busy" => load.busy, "slots" => load.slots, "open" => load.open);
                 self.send(&self.outbound, packet, self.backend);
             }
             Action::Forward(header, reason) => {
@@ -247,6 +250,12 @@
         }
     }
 
+    fn change(&mut self, change: Change, buffers: &mut Buffers) {
+        self.update_backend(buffers);
+        // The adapter may have given up on its caller.
+        let _ = change.done.send(());
+    }
+
     /// Notices that the backend server has been silent for too long.
     fn expire_backend(&mut self, buffers: &mut Buffers) {
         let backend = self.shared.reports().current(Instant::now());
--- a/crates/opaque/src/balancer/packets.rs
+++ b/crates/opaque/src/balancer/packets.rs
@@ -50,7 +50,6 @@
             let due = self.dispatch.deadline().unwrap_or(idle);
             // Readiness that can't be awaited shows as an error of the next receive.
             tokio::select! {
-                biased;
                 _ = self.notices.ready(Interest::READABLE) => {}
                 _ = self.packets.ready(Interest::READABLE) => {}
                 () = sleep_until(due) => {}
