Reset flows that no member holds

Change: a packet of an unknown flow visits every member, those that take no work included, up to 16; an agent that started after its host, and whose host has not returned the packet, marks it as doubtful. If the last one finds no doubt and every member in the list, it resets the flow.

Ruled out: resets by the home alone, which misses owners that restarted or whose notices were lost.

--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -125,6 +125,8 @@
     NoCandidate,
     /// The backend server lost the flow.
     Lost,
+    /// No member holds the flow.
+    NotHeld,
     /// The backend server started anew.
     Restarted,
 }
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -24,6 +24,14 @@
     pub(crate) idle: Duration,
 }
 
+/// Another member of the service.
+#[derive(Debug, Clone)]
+pub(crate) struct Other {
+    pub(crate) candidate: Candidate,
+    pub(crate) centre: DataCentre,
+    pub(crate) takes_work: bool,
+}
+
 /// Flows held here, redirects to other owners, and what is known of the siblings.
 #[derive(Debug)]
 pub struct Forwarder {
@@ -35,6 +43,8 @@
     /// When the backend server left a SYN unanswered, until it is heard again.
     pub(crate) silent: Option<Instant>,
     pub(crate) centres: Option<Centres>,
+    /// The other members of the table, those that take no work included.
+    pub(crate) members: Vec<Other>,
     pub(crate) siblings: Siblings,
     pub(crate) held: HashMap<Flow, Held>,
     /// Flows that are open here.
@@ -61,6 +71,7 @@
             backend: None,
             silent: None,
             centres: None,
+            members: Vec::new(),
             siblings: Siblings::default(),
             held: HashMap::new(),
             open: 0,
@@ -163,10 +174,20 @@
         }
         let centres = Centres::new(table);
         let me = self.me.address;
-        let members = centres.members();
-        let others = members.filter(|(_, member)| member.address != me);
+        let others = table.members.iter().filter(|m| m.packets != me);
+        self.members = others
+            .map(|member| Other {
+                candidate: Candidate {
+                    address: member.packets,
+                    incarnation: member.incarnation,
+                },
+                centre: member.centre.clone(),
+                takes_work: member.state.takes_work(),
+            })
+            .collect();
+        let working = self.members.iter().filter(|member| member.takes_work);
         self.siblings
-            .update(others.map(|(centre, member)| (centre.clone(), member)));
+            .update(working.map(|m| (m.centre.clone(), m.candidate)));
         self.centres = Some(centres);
         self.register_moved(now, out);
     }
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -51,7 +51,7 @@
             let action = if header.is_informed() && !segment.rst {
                 lost(segment)
             } else {
-                self.pass(now, &flow, &header, Reason::Returned)
+                self.pass(&header, segment, Reason::Returned)
             };
             return out.push(action);
         }
--- a/crates/forwarding/src/packet.rs
+++ b/crates/forwarding/src/packet.rs
@@ -4,6 +4,7 @@
 use units::Flow;
 use wire::{Flags, Header, Segment};
 
+use crate::forwarder::Other;
 use crate::{Action, DropReason, Forwarder, Reason};
 
 /// The packet looks for its flow at agents beyond the balancer's list.
@@ -123,7 +124,7 @@
             self.offers.sent(flow, *header);
             return Action::Deliver(Reason::Offer);
         }
-        self.pass(now, &flow, header, Reason::Unknown)
+        self.pass(header, segment, Reason::Unknown)
     }
 
     /// Whether flows may be open that this agent does not know.
@@ -131,25 +132,33 @@
         now < self.start + self.settings.flow_age
     }
 
-    /// Sends a packet that is not a SYN to the next candidate. Agents that started lately have lost
-    /// the redirects for their siblings' flows, so the search goes on beyond the list.
-    pub(crate) fn pass(
-        &self,
-        now: Instant,
-        flow: &Flow,
-        header: &Header,
-        reason: Reason,
-    ) -> Action {
+    /// Sends a packet that is not a SYN to the next candidate, then to the members that the list
+    /// lacks. If every member is sure not to hold the flow, its caller gets a reset.
+    pub(crate) fn pass(&self, header: &Header, segment: &Segment, reason: Reason) -> Action {
+        let flow = segment.flow;
+        let mut header = *header;
+        header.hints.doubtful |= !self.is_sure(&flow);
         if header.has_next() {
             return Action::Forward(header.next(header.flags), reason);
         }
-        let searches = self.is_young(now) || header.flags == SEARCH;
-        match searches
-            .then(|| self.lacking(flow, header, SEARCH))
-            .flatten()
-        {
-            Some(header) => Action::Forward(header, reason),
-            None => Action::Drop(DropReason::Unknown),
+        if let Some(header) = self.lacking(&flow, &header, SEARCH, |_| true) {
+            return Action::Forward(header, reason);
+        }
+        let listed = |other: &Other| header.candidates.contains(&other.candidate);
+        let complete = self.members.iter().all(listed);
+        if header.hints.doubtful || !complete || segment.rst {
+            return Action::Drop(DropReason::Unknown);
+        }
+        Action::Reset {
+            flow,
+            seq: segment.ack_number,
+            reason: Reason::NotHeld,
         }
     }
+
+    /// Whether the backend server surely does not hold a flow that is not known here.
+    fn is_sure(&self, flow: &Flow) -> bool {
+        let known = self.backend.is_some_and(|backend| !backend.older);
+        known || self.offers.was_returned(flow)
+    }
 }
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -4,6 +4,7 @@
 use units::Flow;
 use wire::{Candidate, Candidates, Flags, Header, Segment};
 
+use crate::forwarder::Other;
 use crate::pending::Pending;
 use crate::{Action, Forwarder, Reason};
 
@@ -148,26 +149,32 @@
         if header.flags.accept && header.has_next() {
             return Some(header.next(ACCEPT));
         }
-        self.lacking(flow, header, ACCEPT)
+        self.lacking(flow, header, ACCEPT, |member| member.takes_work)
     }
 
     /// Header for a member that the list lacks, those of the own data centre first.
-    pub(crate) fn lacking(&self, flow: &Flow, header: &Header, flags: Flags) -> Option<Header> {
+    pub(crate) fn lacking(
+        &self,
+        flow: &Flow,
+        header: &Header,
+        flags: Flags,
+        counts: impl Fn(&Other) -> bool,
+    ) -> Option<Header> {
         let own = self.service.as_ref().map(|service| &service.centre);
         let visited = |candidate: &Candidate| {
             let mut all = header.candidates.iter();
             all.any(|known| known.address == candidate.address)
         };
-        let members = self.centres.as_ref()?.members();
-        let lacking = members.filter(|(_, m)| !visited(m) && m.address != self.me.address);
-        let (near, far): (Vec<_>, Vec<_>) = lacking.partition(|(centre, _)| Some(*centre) == own);
+        let members = self.members.iter().filter(|m| counts(m));
+        let lacking = members.filter(|m| !visited(&m.candidate));
+        let (near, far): (Vec<_>, Vec<_>) = lacking.partition(|m| Some(&m.centre) == own);
         let choices = if near.is_empty() { far } else { near };
         // Spreads flows over the members.
         let at = flow.hash() as usize % choices.len().max(1);
-        let (_, member) = choices.get(at)?;
+        let member = choices.get(at)?;
         let mut candidates = header.candidates;
         let before = candidates.len();
-        candidates.push(*member);
+        candidates.push(member.candidate);
         let hop = u8::try_from(before).ok()?;
         let header = Header {
             candidates,
--- a/crates/steering/src/cache.rs
+++ b/crates/steering/src/cache.rs
@@ -9,7 +9,8 @@
 
 use std::ops::Deref;
 
-use wire::MAX_CANDIDATES;
+/// Candidates of an entry: two choices under the current table and one under each earlier one.
+const MAX_LIST: usize = 6;
 
 /// Entries per set.
 const WAYS: usize = 8;
@@ -20,7 +21,7 @@
 /// Indexes into the palette of a steering.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Slot {
-    list: [u16; MAX_CANDIDATES],
+    list: [u16; MAX_LIST],
     len: u8,
 }
 
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -11,10 +11,10 @@
 use crate::{PacketError, WireError};
 
 /// Most candidates in a header.
-pub const MAX_CANDIDATES: usize = 6;
+pub const MAX_CANDIDATES: usize = 16;
 
 /// Largest datagram in bytes.
-pub const MAX_DATAGRAM: usize = 1600;
+pub const MAX_DATAGRAM: usize = 1720;
 
 /// Largest inner packet in bytes.
 pub const MAX_INNER: usize = 1420;
@@ -47,6 +47,7 @@
 const FLAG_ACCEPT: u8 = 2;
 const FLAG_HINTS: u8 = 4;
 const FLAG_OWNED: u8 = 8;
+const FLAG_DOUBTFUL: u8 = 16;
 
 /// Agent that may hold or accept a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -117,6 +118,8 @@
     pub origin: Option<SocketAddrV4>,
     /// The balancer takes the first candidate for the owner.
     pub owned: bool,
+    /// An agent that was visited may hold the flow without knowing it.
+    pub doubtful: bool,
     /// Hop and load of the lightest candidate that a SYN has visited.
     pub lightest: Option<(u8, Load)>,
 }
@@ -136,6 +139,7 @@
             | (u8::from(self.accept) * FLAG_ACCEPT)
             | (u8::from(*hints != Hints::default()) * FLAG_HINTS)
             | (u8::from(hints.owned) * FLAG_OWNED)
+            | (u8::from(hints.doubtful) * FLAG_DOUBTFUL)
     }
 
     fn from_byte(byte: u8) -> Self {
@@ -429,6 +433,7 @@
     Ok(Hints {
         origin: Some(origin).filter(|origin| origin.port() != 0),
         owned: raw[6] & FLAG_OWNED != 0,
+        doubtful: raw[6] & FLAG_DOUBTFUL != 0,
         lightest: (hop != NO_HOP).then_some((hop, load)),
     })
 }
