Refuse no SYN for want of members shortly after a start

Change: in the first 1.5 s a SYN without a candidate is dropped; the caller repeats it after 200 ms. Unknown routes are refused as before.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -52,6 +52,7 @@
     /// Where notices for this balancer go.
     me: SocketAddrV4,
     centre: DataCentre,
+    start: Instant,
     owners: Owners<(ServiceId, Candidate)>,
     openings: Openings,
     suspects: Suspects,
@@ -60,10 +61,16 @@
 impl Dispatch {
     /// State of a balancer that just started.
     #[must_use]
-    pub fn new(settings: DispatchSettings, me: SocketAddrV4, centre: DataCentre) -> Self {
+    pub fn new(
+        settings: DispatchSettings,
+        me: SocketAddrV4,
+        centre: DataCentre,
+        now: Instant,
+    ) -> Self {
         Self {
             me,
             centre,
+            start: now,
             owners: Owners::new(settings.owners, settings.owner_ttl),
             openings: Openings::default(),
             suspects: Suspects::new(settings.failures, settings.avoid),
@@ -89,7 +96,7 @@
         if segment.opens() {
             out.push(match self.open(now, directory, segment, inner) {
                 Ok(header) => Action::Send(header),
-                Err(reason) if current => Action::Refuse(reason),
+                Err(reason) if current && self.is_settled(now, reason) => Action::Refuse(reason),
                 Err(reason) => Action::Drop(reason),
             });
         } else {
@@ -97,6 +104,10 @@
         }
     }
 
+    fn is_settled(&self, now: Instant, reason: DropReason) -> bool {
+        reason != DropReason::NoMember || now >= self.start + self.settings.settle
+    }
+
     /// A notice with a valid tag.
     pub fn notice(&mut self, now: Instant, notice: &Notice) {
         self.suspects.heard(notice.owner.address);
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -5,6 +5,9 @@
 /// Limits and times.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DispatchSettings {
+    /// Time after the start in which no SYN is refused: agents may be starting as well, and
+    /// the caller repeats a SYN that got no answer.
+    pub settle: Duration,
     /// Time within which an owner is heard of after a SYN.
     pub answer: Duration,
     /// Candidates that a SYN is sent to at most.
@@ -24,6 +27,7 @@
 impl Default for DispatchSettings {
     fn default() -> Self {
         Self {
+            settle: Duration::from_millis(1_500),
             answer: Duration::from_millis(40),
             tries: 3,
             openings: 16_384,
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -141,6 +141,8 @@
     OtherService,
     /// No agent knows the flow.
     Unknown,
+    /// No agent can take the SYN, shortly after this one started.
+    Unsettled,
     /// The backend server sent a packet that only callers send.
     WrongWay,
     /// A returned packet whose way is not remembered.
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -65,11 +65,7 @@
             });
             // Without the kept header the SYN is a copy of one that went on already.
             out.push(next.map_or(Action::Drop(DropReason::Stray), |next| {
-                next.unwrap_or(Action::Reset {
-                    flow,
-                    seq: 0,
-                    reason: Reason::NoCandidate,
-                })
+                next.unwrap_or_else(|| self.refuse(now, flow))
             }));
         } else if held.established && !segment.rst {
             self.offers.note_returned(flow, now);
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -6,7 +6,7 @@
 
 use crate::forwarder::Other;
 use crate::pending::Pending;
-use crate::{Action, Forwarder, Reason};
+use crate::{Action, DropReason, Forwarder, Reason};
 
 /// The SYN has visited every candidate: the one addressed accepts if it can at all.
 const ACCEPT: Flags = Flags {
@@ -38,11 +38,19 @@
                 out.push(Action::Deliver(reason));
             }
             Place::There(header, reason) => out.push(Action::Forward(header, reason)),
-            Place::Nowhere => out.push(Action::Reset {
-                flow,
-                seq: 0,
-                reason: Reason::NoCandidate,
-            }),
+            Place::Nowhere => out.push(self.refuse(now, flow)),
+        }
+    }
+
+    /// Refuses a SYN that no candidate took.
+    pub(crate) fn refuse(&self, now: Instant, flow: Flow) -> Action {
+        if now < self.start + self.settings.settle {
+            return Action::Drop(DropReason::Unsettled);
+        }
+        Action::Reset {
+            flow,
+            seq: 0,
+            reason: Reason::NoCandidate,
         }
     }
 
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -7,6 +7,9 @@
 pub struct ForwardSettings {
     /// Longest age of a flow; an agent older than that knows every flow of its backend server.
     pub flow_age: Duration,
+    /// Time after the start in which no SYN is refused: siblings may be starting as well, and the
+    /// caller repeats a SYN that got no answer.
+    pub settle: Duration,
     /// Time within which the backend server answers a SYN; it does so before it has a slot.
     pub answer: Duration,
     /// Time for which the end of a flow is remembered, so that its last packets find the way.
@@ -35,6 +38,7 @@
     fn default() -> Self {
         Self {
             flow_age: Duration::from_secs(60),
+            settle: Duration::from_millis(1_500),
             answer: Duration::from_millis(25),
             linger: Duration::from_secs(2),
             notice: Duration::from_secs(1),
--- a/crates/opaque/src/balancer/mod.rs
+++ b/crates/opaque/src/balancer/mod.rs
@@ -63,6 +63,7 @@
             DispatchSettings::default(),
             settings.notices,
             settings.identity.centre.clone(),
+            Instant::now(),
         );
         let worker = Packets {
             codec,
