Ask for a pre-vote within a heartbeat after a start

Change: the first comes after 1/8 to 1 heartbeat, the next after twice that. A pre-vote is denied while a leader is heard, so a restart disturbs nobody.

--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -18,7 +18,7 @@
             return self.start_election(now, false, out);
         }
         self.role = Role::PreCandidate(votes);
-        self.election_at = now + self.first_wait() * 2;
+        self.election_at = now + self.pre_vote_wait() * 2;
         let (last, last_term) = (self.log.last(), self.log.last_term());
         let term = self.vote.term + 1;
         let body = Body::PreVote { last, last_term };
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -138,9 +138,9 @@
             incoming: None,
             early: BTreeMap::new(),
         };
-        // A leader that there is shows itself within two heartbeats; a pre-vote is denied if one is
-        // heard elsewhere, so there is no need to wait for a whole election timeout.
-        state.election_at = now + state.first_wait();
+        // A pre-vote is denied if a leader is heard elsewhere, so there is no need to wait for a whole
+        // election timeout.
+        state.election_at = now + state.pre_vote_wait();
         state
     }
 
@@ -381,10 +381,11 @@
         self.send(to, body, 0, out);
     }
 
-    /// Wait before the first pre-vote and between unanswered ones, which disturb no leader.
-    pub(crate) fn first_wait(&mut self) -> Duration {
+    /// Wait before the first pre-vote; twice as long between unanswered ones; they disturb no
+    /// leader. Long enough apart that two replicas rarely ask at the same time.
+    pub(crate) fn pre_vote_wait(&mut self) -> Duration {
         let beat = self.settings.heartbeat;
-        self.rng.random_range(beat..beat * 2)
+        self.rng.random_range(beat / 8..beat)
     }
 
     /// Sets a new random election timeout.
