Let tests of control wait until every replica knows the leader

Cause: two replicas elect a leader while the third still forms the group, since the first pre-vote comes early; two tests asked the third one at once and got 503 without a leader's address.

Change: it waits for one leader and 421 from all others.

--- a/bin/control/tests/all/group.rs
+++ b/bin/control/tests/all/group.rs
@@ -13,11 +13,20 @@
 async fn leader(group: &Group, alive: &[usize]) -> usize {
     let deadline = Instant::now() + LIMIT;
     while Instant::now() < deadline {
+        let mut leads = Vec::new();
+        let mut follow = 0;
         for index in alive {
-            if Operator::new(group, *index).status(path::STATUS).await == 200 {
-                return *index;
+            match Operator::new(group, *index).status(path::STATUS).await {
+                200 => leads.push(*index),
+                421 => follow += 1,
+                _ => {}
             }
         }
+        if let [leader] = leads[..]
+            && follow + 1 == alive.len()
+        {
+            return leader;
+        }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     panic!("no leader among {alive:?}")
