Raise the version of a declaration that is put again unchanged

Cause: store_profile, shared by Put and Replace since routes came, kept the version of a profile that did not differ.

Change: Put always stores; only Replace skips what did not change.

--- a/crates/state/src/declare.rs
+++ b/crates/state/src/declare.rs
@@ -179,12 +179,7 @@
         findings(&profile::check_one(&declaration, Some(&picked.body)))
     }
 
-    /// Keeps a profile; one that did not change keeps its version.
     pub(crate) fn store_profile(&mut self, author: &str, profile: &Profile) {
-        let held = self.profiles.get(&profile.name);
-        if held.is_some_and(|entry| entry.body == *profile) {
-            return;
-        }
         let entry = ProfileEntry {
             version: self.config,
             author: author.into(),
--- a/crates/state/src/routes.rs
+++ b/crates/state/src/routes.rs
@@ -62,8 +62,12 @@
             return refused;
         }
         self.config = self.config.next();
+        // What did not change keeps its version, so that nodes don't get it again.
         for profile in &next.profiles {
-            self.store_profile(author, profile);
+            let held = self.profiles.get(&profile.name);
+            if held.is_none_or(|entry| entry.body != *profile) {
+                self.store_profile(author, profile);
+            }
         }
         for service in &next.services {
             let held = self.services.get(&service.name);
--- a/crates/state/tests/all/main.rs
+++ b/crates/state/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod answers;
 mod common;
 mod declare;
+mod routes;
 mod snapshot;
 mod tables;
