Give back slots that no request needs

Change: the slot kept for the first request is given back after 100 ms without one, a request without an answer counts for 2 s.

--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -11,7 +11,7 @@
 use wire::{Candidate, Load, Notice};
 
 use crate::balance::Siblings;
-use crate::held::Held;
+use crate::held::{Busy, Held};
 use crate::pending::{Offers, Waiting};
 use crate::{Action, Backend, Event, ForwardSettings, Reason};
 
@@ -54,6 +54,8 @@
     pub(crate) redirects: Owners<Candidate>,
     pub(crate) offers: Offers,
     pub(crate) waiting: Waiting,
+    /// Slots kept for requests, in the order in which they are given back.
+    pub(crate) reserved: Waiting,
     /// Registrations to repeat, by time.
     pub(crate) repeats: BTreeSet<(Instant, Flow)>,
     pub(crate) load_at: Instant,
@@ -79,6 +81,7 @@
             redirects: Owners::new(settings.redirects, settings.redirect_ttl),
             offers: Offers::new(settings.returned),
             waiting: Waiting::new(),
+            reserved: Waiting::new(),
             repeats: BTreeSet::new(),
             load_at: now,
             sweep_at: now,
@@ -122,9 +125,10 @@
     #[must_use]
     pub fn deadline(&self) -> Instant {
         let waiting = self.waiting.front().map(|(at, _)| *at);
+        let reserved = self.reserved.front().map(|(at, _)| *at);
         let repeat = self.repeats.first().map(|(at, _)| *at);
         let periodic = self.load_at.min(self.sweep_at);
-        [waiting, repeat]
+        [waiting, reserved, repeat]
             .into_iter()
             .flatten()
             .fold(periodic, Instant::min)
@@ -206,6 +210,7 @@
     fn reset_all(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.offers.clear();
         self.waiting.clear();
+        self.reserved.clear();
         let mut held: Vec<_> = self.held.drain().collect();
         // The map's order is random.
         held.sort_unstable_by_key(|(flow, _)| *flow);
@@ -240,10 +245,10 @@
         }
     }
 
-    /// Notes that a flow has a request in progress.
-    pub(crate) fn begin(&mut self, flow: &Flow, now: Instant) {
+    /// Notes that a flow has a request in progress, or a slot kept for one.
+    pub(crate) fn begin(&mut self, flow: &Flow, busy: Busy) {
         if let Some(held) = self.held.get_mut(flow)
-            && held.busy.replace(now).is_none()
+            && held.busy.replace(busy).is_none()
         {
             self.busy = self.busy.saturating_add(1);
         }
--- a/crates/forwarding/src/held.rs
+++ b/crates/forwarding/src/held.rs
@@ -12,6 +12,15 @@
 /// Receivers of notices that the limit remembers; notices to more wait.
 const RECEIVERS: usize = 3;
 
+/// Why a flow counts as busy, and since when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Busy {
+    /// Accepted; its request is expected at once.
+    Reserved(Instant),
+    /// The backend server has a request without an answer.
+    Working(Instant),
+}
+
 /// A flow held here.
 #[derive(Debug)]
 pub(crate) struct Held {
@@ -26,8 +35,8 @@
     pub(crate) repeats: u8,
     /// Last packet.
     pub(crate) seen: Instant,
-    /// Start of the request in progress.
-    pub(crate) busy: Option<Instant>,
+    /// Request in progress, or the slot kept for the first one.
+    pub(crate) busy: Option<Busy>,
     /// Time of its end: both sides finished, or one gave up.
     pub(crate) ended: Option<Instant>,
     /// SYN without an answer.
--- a/crates/forwarding/src/packet.rs
+++ b/crates/forwarding/src/packet.rs
@@ -5,6 +5,7 @@
 use wire::{Flags, Header, Segment};
 
 use crate::forwarder::Other;
+use crate::held::Busy;
 use crate::{Action, DropReason, Forwarder, Reason};
 
 /// The packet looks for its flow at agents beyond the balancer's list.
@@ -91,7 +92,7 @@
             out.push(Action::Notify { to, flows });
         }
         if starts {
-            self.begin(&flow, now);
+            self.begin(&flow, Busy::Working(now));
         }
         self.note_ended(&flow, before);
         if opened {
--- a/crates/forwarding/src/pending.rs
+++ b/crates/forwarding/src/pending.rs
@@ -14,7 +14,7 @@
     pub(crate) inner: Box<[u8]>,
 }
 
-/// Delivered SYNs in the order of time; answered ones stay until their time comes.
+/// Flows in the order in which something is due; those that need it no more stay until then.
 pub(crate) type Waiting = VecDeque<(Instant, Flow)>;
 
 /// Offered packets with the headers that they came with.
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -5,6 +5,7 @@
 use wire::{Candidate, Candidates, Flags, Header, Segment};
 
 use crate::forwarder::Other;
+use crate::held::Busy;
 use crate::pending::Pending;
 use crate::{Action, DropReason, Forwarder, Reason};
 
@@ -68,7 +69,9 @@
         }));
         self.waiting.push_back((now + self.settings.answer, flow));
         // The request follows the handshake at once, so the slot is taken from here on.
-        self.begin(&flow, now);
+        self.begin(&flow, Busy::Reserved(now));
+        let wait = self.settings.request_wait;
+        self.reserved.push_back((now + wait, flow));
     }
 
     fn place(&mut self, now: Instant, flow: &Flow, header: &Header) -> Place {
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -30,7 +30,7 @@
     pub load_fanout: usize,
     /// Longest time for which a request without an answer counts as in progress.
     pub busy_limit: Duration,
-    /// Time for which an accepted flow counts as in progress before its request arrives.
+    /// Time for which an accepted flow keeps a slot until its request arrives.
     pub request_wait: Duration,
 }
 
@@ -48,8 +48,8 @@
             load_ttl: Duration::from_secs(2),
             load_interval: Duration::from_millis(250),
             load_fanout: 16,
-            busy_limit: Duration::from_secs(5),
-            request_wait: Duration::from_millis(50),
+            busy_limit: Duration::from_secs(2),
+            request_wait: Duration::from_millis(100),
         }
     }
 }
--- a/crates/forwarding/src/sweep.rs
+++ b/crates/forwarding/src/sweep.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use units::Flow;
 
+use crate::held::Busy;
 use crate::{Action, Forwarder};
 
 /// Time between two looks for flows that are idle or ended.
@@ -13,6 +14,7 @@
 impl Forwarder {
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.unanswered(now, out);
+        self.give_back(now);
         self.repeat(now, out);
         if now >= self.load_at {
             self.load_at = now + self.settings.load_interval;
@@ -45,6 +47,19 @@
         }
     }
 
+    /// Gives back slots that were kept for requests that did not come.
+    fn give_back(&mut self, now: Instant) {
+        let wait = self.settings.request_wait;
+        while let Some((_, flow)) = self.reserved.pop_front_if(|(due, _)| *due <= now) {
+            let busy = self.held.get(&flow).and_then(|held| held.busy);
+            if let Some(Busy::Reserved(since)) = busy
+                && now >= since + wait
+            {
+                self.finish(&flow);
+            }
+        }
+    }
+
     fn tell_load(&mut self, out: &mut Vec<Action>) {
         if self.service.is_none() {
             return;
@@ -61,18 +76,16 @@
             return;
         };
         let (linger, limit) = (self.settings.linger, self.settings.busy_limit);
-        let wait = self.settings.request_wait;
         let mut gone: Vec<Flow> = Vec::new();
         let mut given_up: Vec<Flow> = Vec::new();
         for (flow, held) in &self.held {
             let ended = held.ended.is_some_and(|at| now >= at + linger);
             if ended || now >= held.seen + idle {
                 gone.push(*flow);
-            } else if let Some(since) = held.busy {
-                let limit = if held.established { limit } else { wait };
-                if now >= since + limit {
-                    given_up.push(*flow);
-                }
+            } else if let Some(Busy::Working(since)) = held.busy
+                && now >= since + limit
+            {
+                given_up.push(*flow);
             }
         }
         for flow in gone {
