--- a/crates/forwarding/src/homes.rs
+++ b/crates/forwarding/src/homes.rs
@@ -99,7 +99,8 @@
             let Some(held) = self.held.get_mut(&flow) else {
                 continue;
             };
-            let Some(home) = held.home.filter(|_| held.repeats > 0) else {
+            let due = held.repeats > 0 && held.ended.is_none();
+            let Some(home) = held.home.filter(|_| due) else {
                 continue;
             };
             held.repeats -= 1;
