Give seats of silent voters to replicas that joined

Cause: a core machine that is replaced at another address joined as a fourth voter, and the dead one kept its vote: after that, no other loss could be borne. A replica whose seat went away while it was down would have stayed alone.

Change: with a number of voters set (twice the tolerated losses plus one), a replica that joined and caught up takes a free seat, or that of a voter silent for 1.5 s, which is removed once the new one votes; others wait as learners. A replica that asks for votes and is in no committed membership is told so, discards its files and joins under a new id.

Ruled out: removing a silent voter first (two remaining ones would both be needed for each commit); handing seats over at SIGTERM (the process can't tell a restart from a removal).

Tests: four scenarios in replication, one over HTTP in replica.

--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -5,7 +5,8 @@
 use std::time::Instant;
 
 use replication::{Action, Change, Command, Event, Kind, Message, Payload, RoleName, State, Write};
-use slog::{Logger, crit, info};
+use slog::{Logger, crit, info, warn};
+use storage::Store;
 use tokio::sync::{mpsc, oneshot, watch};
 use units::ReplicaId;
 
@@ -16,7 +17,7 @@
 use crate::waiters::{Waiter, Waiters};
 use crate::wire::{Answer, Standing, Wire};
 use crate::work::{Done, Task, Worker};
-use crate::{Peer, PeerStatus, ProposeError, ReplicaSettings, ReplicaStatus, Role};
+use crate::{Machine, Peer, PeerStatus, ProposeError, ReplicaSettings, ReplicaStatus, Role};
 
 /// Requests that are handled together, so that they share a write and a message.
 const BATCH: usize = 512;
@@ -39,6 +40,16 @@
     pub(crate) progress: Progress,
 }
 
+/// What is left of a replica that its group has removed.
+pub(crate) struct Removed {
+    pub(crate) inputs: mpsc::Receiver<Input>,
+    pub(crate) status: watch::Sender<ReplicaStatus>,
+    pub(crate) store: Store,
+    pub(crate) machine: Machine,
+    /// Last entry that the state machine has applied; committed, so it stays as it is.
+    pub(crate) applied: u64,
+}
+
 /// What the task keeps besides the state.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
@@ -59,14 +70,16 @@
     /// Address and last contact of senders.
     contacts: HashMap<ReplicaId, (SocketAddr, Instant)>,
     is_broken: bool,
+    /// The group has removed this replica.
+    is_removed: bool,
 }
 
 impl Progress {
-    /// After a start from a snapshot.
-    pub(crate) fn after(snapshot: u64) -> Self {
-        let (handed, applied) = (snapshot, snapshot);
+    /// After a start from a snapshot, with a state machine that has applied the entries up to an
+    /// index.
+    pub(crate) fn after(snapshot: u64, applied: u64) -> Self {
         Self {
-            handed,
+            handed: applied,
             applied,
             snapshot,
             ..Self::default()
@@ -86,10 +99,13 @@
 }
 
 impl Core {
-    /// Runs until the replica is stopped.
-    pub(crate) async fn run(mut self) {
+    /// Runs until the replica is stopped, or removed by its group.
+    pub(crate) async fn run(mut self) -> Option<Removed> {
         self.update();
         while self.progress.stop.is_none() && !self.progress.is_broken {
+            if self.progress.is_removed {
+                return self.removed().await;
+            }
             let due = self.state.deadline().into();
             tokio::select! {
                 Some(done) = self.done.recv() => self.finish(done),
@@ -114,12 +130,33 @@
         }
         self.peers.retain(|_| false);
         self.done.close();
-        self.disk.stop().await;
+        drop(self.disk.stop().await);
         self.worker.stop().await;
         if let Some(reply) = self.progress.stop {
             // The caller of `stop` may have gone away.
             let _ = reply.send(());
         }
+        None
+    }
+
+    /// Gives back what a replica under a new id needs; callers that wait learn that their outcome
+    /// is unknown.
+    async fn removed(mut self) -> Option<Removed> {
+        warn!(
+            self.log,
+            "the group has removed this replica; joining it again under a new id"
+        );
+        self.peers.retain(|_| false);
+        self.done.close();
+        let store = self.disk.stop().await?;
+        let machine = self.worker.stop().await?;
+        Some(Removed {
+            applied: self.progress.handed,
+            inputs: self.inputs,
+            status: self.status,
+            store,
+            machine,
+        })
     }
 
     /// Handles a request and those that wait behind it.
@@ -251,6 +288,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
+            Action::Removed => self.progress.is_removed = true,
             Action::Store { seq, write } => {
                 if let Write::Install(snapshot) = &write {
                     self.progress.handed = snapshot.index;
@@ -319,7 +357,7 @@
                 .retain(|id, _| members.contains_key(id));
         }
         self.progress.bytes += entries.iter().map(|e| e.size() as u64).sum::<u64>();
-        self.progress.handed = index;
+        self.progress.handed = self.progress.handed.max(index);
         self.progress.is_broken |= !self.worker.send(Task::Apply(entries));
     }
 
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Disk {
     jobs: mpsc::Sender<Job>,
-    task: JoinHandle<()>,
+    task: JoinHandle<Store>,
 }
 
 impl Disk {
@@ -67,11 +67,11 @@
     }
 
     /// Ends the thread after the queued work. While writes fail it ends at once,
-    /// provided that the receiver of its reports is closed.
-    pub(crate) async fn stop(self) {
+    /// provided that the receiver of its reports is closed. The files are gone if the thread
+    /// panicked, which was reported when it happened.
+    pub(crate) async fn stop(self) -> Option<Store> {
         drop(self.jobs);
-        // A panic of the thread was reported when it happened.
-        let _ = self.task.await;
+        self.task.await.ok()
     }
 }
 
@@ -84,7 +84,12 @@
 }
 
 impl Writer {
-    fn run(mut self, queue: &mpsc::Receiver<Job>) {
+    fn run(mut self, queue: &mpsc::Receiver<Job>) -> Store {
+        self.work(queue);
+        self.store
+    }
+
+    fn work(&mut self, queue: &mpsc::Receiver<Job>) {
         while let Ok(first) = queue.recv() {
             // Everything that waited during the last sync shares the next one.
             let jobs: Vec<_> = std::iter::once(first).chain(queue.try_iter()).collect();
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -5,12 +5,12 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use replication::{Change, Restored, State};
-use slog::{Logger, o, warn};
+use slog::{Logger, crit, o, warn};
 use storage::{Options, Store};
 use tokio::sync::{mpsc, oneshot, watch};
 use units::ReplicaId;
 
-use crate::core::{Core, Progress};
+use crate::core::{Core, Progress, Removed};
 use crate::disk::{self, Disk};
 use crate::form::{Forming, Start, first_members};
 use crate::input::{Input, Reply};
@@ -270,15 +270,52 @@
     })
 }
 
-/// Forms or joins the group if necessary, then takes part until stopped.
+/// Forms or joins the group if necessary, then takes part until stopped. A replica that its group
+/// has removed joins it again, with nothing of before.
 async fn run(
-    settings: ReplicaSettings,
-    opened: Opened,
+    mut settings: ReplicaSettings,
+    mut opened: Opened,
     client: rpc::Client,
     log: Logger,
     mut inputs: mpsc::Receiver<Input>,
-    status: watch::Sender<ReplicaStatus>,
+    mut status: watch::Sender<ReplicaStatus>,
 ) {
+    let mut applied = 0;
+    loop {
+        let channels = (inputs, status);
+        let taken = take_part(&settings, opened, applied, &client, &log, channels);
+        let Some(removed) = taken.await else { return };
+        applied = removed.applied;
+        settings.join = true;
+        (inputs, status) = (removed.inputs, removed.status);
+        let (folder, segment) = (settings.folder.clone(), settings.segment_bytes);
+        let (store, machine) = (removed.store, removed.machine);
+        let reopened = tokio::task::spawn_blocking(move || {
+            store.discard()?;
+            open(&folder, segment, machine)
+        });
+        opened = match reopened.await {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(cause)) => {
+                crit!(log, "cannot discard the files of the removed replica; it stops";
+                    "error" => %cause);
+                return;
+            }
+            // The panic was reported when it happened.
+            Err(_) => return,
+        };
+    }
+}
+
+/// Runs under one id, with a state machine that has applied entries up to an index already.
+async fn take_part(
+    settings: &ReplicaSettings,
+    opened: Opened,
+    applied: u64,
+    client: &rpc::Client,
+    log: &Logger,
+    (mut inputs, status): (mpsc::Receiver<Input>, watch::Sender<ReplicaStatus>),
+) -> Option<Removed> {
     let Opened {
         mut store,
         machine,
@@ -286,12 +323,12 @@
         ..
     } = opened;
     let forming = Forming {
-        settings: &settings,
-        client: &client,
-        log: &log,
+        settings,
+        client,
+        log,
         inputs: &mut inputs,
         store: &mut store,
-        peers: first_members(&settings),
+        peers: first_members(settings),
     };
     let (id, restored) = match forming.run(restored).await {
         Start::Run(id, restored) => (id, restored),
@@ -299,9 +336,9 @@
             drop(store);
             // The caller of `stop` may have gone away.
             let _ = reply.send(());
-            return;
+            return None;
         }
-        Start::Dropped => return,
+        Start::Dropped => return None,
     };
     let snapshot = restored.snapshot.as_ref().map_or(0, |s| s.index);
     let rng = settings
@@ -320,11 +357,11 @@
         done,
         disk: Disk::start(store, id, report.clone(), log.clone()),
         worker: Worker::start(machine, report),
-        peers: Peers::new(own, client, log.clone()),
+        peers: Peers::new(own, client.clone(), log.clone()),
         status,
-        progress: Progress::after(snapshot),
-        settings,
-        log,
+        progress: Progress::after(snapshot, applied.max(snapshot)),
+        settings: settings.clone(),
+        log: log.clone(),
     };
-    core.run().await;
+    core.run().await
 }
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -41,6 +41,8 @@
     /// Most voters: replicas that join beyond it stay learners until a voter is silent. Without it
     /// every replica that joins becomes a voter.
     pub voters: Option<usize>,
+    /// Silence after which a voter's seat goes to a replica that joined, with `voters` set.
+    pub silence: Duration,
     /// Shortest and longest election timeout.
     pub election: (Duration, Duration),
     /// Heartbeat interval of the leader.
@@ -72,6 +74,7 @@
             peers: Vec::new(),
             join: false,
             voters: None,
+            silence: Duration::from_millis(1_500),
             election: (Duration::from_millis(300), Duration::from_millis(600)),
             heartbeat: Duration::from_millis(75),
             propose_limit: Duration::from_secs(5),
@@ -125,6 +128,7 @@
             resend: self.heartbeat * 4,
             tail: self.tail,
             voters: self.voters,
+            silence: self.silence,
             ..replication::Settings::default()
         }
     }
--- a/crates/replica/src/work.rs
+++ b/crates/replica/src/work.rs
@@ -70,7 +70,7 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     tasks: mpsc::Sender<Task>,
-    task: JoinHandle<()>,
+    task: JoinHandle<Machine>,
 }
 
 impl Worker {
@@ -79,9 +79,10 @@
         let task = tokio::task::spawn_blocking(move || {
             while let Ok(task) = queue.recv() {
                 if done.send(run(&mut machine, task)).is_err() {
-                    return;
+                    break;
                 }
             }
+            machine
         });
         Self { tasks, task }
     }
@@ -91,11 +92,11 @@
         self.tasks.send(task).is_ok()
     }
 
-    /// Ends the thread after the queued work.
-    pub(crate) async fn stop(self) {
+    /// Ends the thread after the queued work; the state machine is gone if it panicked, which was
+    /// reported when it happened.
+    pub(crate) async fn stop(self) -> Option<Machine> {
         drop(self.tasks);
-        // A panic of the state machine was reported when it happened.
-        let _ = self.task.await;
+        self.task.await.ok()
     }
 }
 
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -303,3 +303,49 @@
         );
     }
 }
+
+/// Guards against a replica that lost its seat while it was down and never finds back: it has to
+/// join again under a new id, keep the order of what it applies, and be there when another one
+/// is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_lost_its_seat_joins_again() {
+    let settings = ReplicaSettings {
+        voters: Some(3),
+        ..settings()
+    };
+    let mut group = Group::new(3, 4, settings);
+    for n in 0..3 {
+        group.start(n).await;
+    }
+    let leader = group.leader().await;
+    let (gone, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let mut known = group.commit_all("all", 20).await;
+    group.kill(gone);
+    group.start(3).await;
+    let voter = |group: &Group, n: usize, address| {
+        let peers = group.status(n).peers;
+        peers.iter().any(|p| p.address == address && p.voter)
+    };
+    let (old, new) = (group.nodes[gone].address, group.nodes[3].address);
+    group
+        .until("the new replica has the seat", |g| {
+            voter(g, leader, new) && !voter(g, leader, old)
+        })
+        .await;
+    known.extend(group.commit_all("new", 10).await);
+    group.start(gone).await;
+    group
+        .until("the old one has joined again", |g| {
+            let status = g.status(gone);
+            let all = g.status(leader).applied;
+            status.role == Role::Learner && status.id.0 > 4 && status.applied >= all
+        })
+        .await;
+    // The next silent voter gives it a seat again.
+    group.kill(other);
+    group
+        .until("it has a seat again", |g| voter(g, leader, old))
+        .await;
+    known.extend(group.commit_all("last", 5).await);
+    group.check(&known).await;
+}
--- a/crates/replication/src/change.rs
+++ b/crates/replication/src/change.rs
@@ -120,28 +120,57 @@
         progress.is_some_and(|p| p.matched >= leader.goal && now < p.contact + limit)
     }
 
-    /// Makes a joining learner that has caught up a voter, in place of the
-    /// voter that ran at its address before.
+    /// Gives seats to joining learners that have caught up, and takes them from silent voters.
     pub(crate) fn settle_learners(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.may_change().is_err() {
             return;
         }
+        let change = self.surplus(now).map(Change::Remove);
+        let Some(change) = change.or_else(|| self.seat(now)) else {
+            return;
+        };
+        if let Ok(config) = self.changed(now, change) {
+            self.append_config(now, config, out);
+        }
+    }
+
+    /// Silent voter whose seat another replica has taken.
+    fn surplus(&self, now: Instant) -> Option<ReplicaId> {
+        let limit = self.settings.voters?;
+        (self.config().voters().count() > limit)
+            .then(|| self.silent_voter(now))
+            .flatten()
+    }
+
+    /// Change that brings a joining learner nearer to a seat: its own at the address of a voter
+    /// that ran there before, a free one, or that of a silent voter. The last one gives up its seat
+    /// only after the learner has it, so that no commit needs both of two remaining voters.
+    fn seat(&self, now: Instant) -> Option<Change> {
         let config = self.config();
-        let joining = config
+        let (id, member) = config
             .members
             .iter()
-            .find(|(id, m)| m.kind == Kind::Joining && self.is_caught_up(now, **id));
-        let Some((id, member)) = joining else { return };
-        let replaced = config
+            .find(|(id, m)| m.kind == Kind::Joining && self.is_caught_up(now, **id))?;
+        let before = config
             .members
             .iter()
             .find(|(_, m)| m.kind == Kind::Voter && m.address == member.address);
-        let change = match replaced {
-            Some((old, _)) => Change::Remove(*old),
-            None => Change::Promote(*id),
-        };
-        if let Ok(config) = self.changed(now, change) {
-            self.append_config(now, config, out);
+        if let Some((old, _)) = before {
+            return Some(Change::Remove(*old));
         }
+        let limit = self.settings.voters;
+        let free = limit.is_none_or(|limit| config.voters().count() < limit);
+        (free || self.silent_voter(now).is_some()).then_some(Change::Promote(*id))
+    }
+
+    /// Voter that has not answered for the longest time, if that is too long.
+    fn silent_voter(&self, now: Instant) -> Option<ReplicaId> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let limit = self.settings.silence;
+        let contact = |id: ReplicaId| leader.progress.get(&id).map(|p| (p.contact, id));
+        let longest = self.config().voters().filter_map(contact).min()?;
+        (now >= longest.0 + limit).then_some(longest.1)
     }
 }
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -91,6 +91,16 @@
         last: (u64, u64),
         out: &mut Vec<Action>,
     ) {
+        if let Some(index) = self.removed_at(from, last.1) {
+            let term = self.vote.term;
+            let body = Body::Removed { index };
+            let message = Message { term, body };
+            return out.push(Action::Send {
+                to: from,
+                message,
+                after: 0,
+            });
+        }
         let granted = term > self.vote.term
             && self.disk_ok
             && !self.hears_leader(now)
@@ -107,6 +117,22 @@
         });
     }
 
+    /// Index of the committed membership that lacks a replica whose log ends before it.
+    fn removed_at(&self, id: ReplicaId, last: u64) -> Option<u64> {
+        let (config, index) = self.config_at(self.commit);
+        let lacks = !config.members.contains_key(&id) && !config.members.is_empty();
+        (lacks && index > last).then_some(index)
+    }
+
+    /// Another replica says that this one was removed. It asks for votes, so it believes to be a
+    /// voter; a later membership than its log holds can only come from the group.
+    pub(crate) fn on_removed(&mut self, index: u64, out: &mut Vec<Action>) {
+        let asks = matches!(self.role, Role::PreCandidate(_));
+        if asks && index > self.log.last() {
+            out.push(Action::Removed);
+        }
+    }
+
     pub(crate) fn on_pre_vote_granted(
         &mut self,
         now: Instant,
--- a/crates/replication/src/event.rs
+++ b/crates/replication/src/event.rs
@@ -87,6 +87,8 @@
 /// What the caller has to do.
 #[derive(Debug, Clone)]
 pub enum Action {
+    /// This replica was removed from the group; under its id it never takes part again.
+    Removed,
     /// Write and sync.
     Store {
         /// Number of the write.
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -82,6 +82,11 @@
     },
     /// The term of the sender of an earlier message has passed.
     Stale,
+    /// The receiver was removed by a committed change of the membership.
+    Removed {
+        /// Index of the change.
+        index: u64,
+    },
     /// Part of a snapshot.
     Chunk {
         /// Last index that the snapshot covers.
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -193,6 +193,7 @@
             Body::PreVoteReply { granted: true } => {
                 return self.on_pre_vote_granted(now, from, term, out);
             }
+            Body::Removed { index } => return self.on_removed(index, out),
             // A replica that lost contact must not depose a leader that others hear.
             Body::Vote {
                 transfer: false, ..
@@ -216,7 +217,10 @@
     /// Handles a message of the current term.
     fn dispatch(&mut self, now: Instant, from: ReplicaId, body: Body, out: &mut Vec<Action>) {
         match body {
-            Body::PreVote { .. } | Body::PreVoteReply { .. } | Body::Stale => {}
+            Body::PreVote { .. }
+            | Body::PreVoteReply { .. }
+            | Body::Stale
+            | Body::Removed { .. } => {}
             Body::Vote {
                 last, last_term, ..
             } => {
--- a/crates/replication/tests/cluster/mod.rs
+++ b/crates/replication/tests/cluster/mod.rs
@@ -57,6 +57,10 @@
     reads: BTreeMap<u64, u64>,
     pub answered: usize,
     pub refused: Vec<Cause>,
+    /// Replicas that learned that they were removed, in order.
+    pub removed: Vec<ReplicaId>,
+    /// Most voters that joining replicas make.
+    pub voters: Option<usize>,
     /// Ids that gave a vote, in order.
     pub votes: Vec<ReplicaId>,
     /// Messages with entries that were sent.
@@ -81,10 +85,18 @@
             reads: BTreeMap::new(),
             answered: 0,
             refused: Vec::new(),
+            removed: Vec::new(),
+            voters: None,
             votes: Vec::new(),
             appended: 0,
             tail: 20,
         };
+        cluster.found(voters);
+        cluster
+    }
+
+    /// Starts the first voters.
+    pub fn found(&mut self, voters: u64) {
         let config = Config::new((1..=voters).map(|n| (id(n), address(n))));
         for n in 1..=voters {
             let payload = Payload::Config(config.clone());
@@ -97,7 +109,7 @@
                 term: 1,
                 voted: None,
             };
-            cluster.boot(
+            self.boot(
                 id(n),
                 Restored {
                     vote,
@@ -106,7 +118,6 @@
                 },
             );
         }
-        cluster
     }
 
     pub fn time(&self) -> Instant {
@@ -119,6 +130,7 @@
             tail: self.tail,
             chunk: 100,
             batch: 400,
+            voters: self.voters,
             ..Settings::default()
         };
         let restored = copy(&disk);
@@ -206,6 +218,7 @@
                 assert!(index >= known, "read at {index} misses entry {known}");
                 self.answered += 1;
             }
+            Action::Removed => self.removed.push(id),
             Action::Refused { cause, .. } => self.refused.push(cause),
             Action::Proposed { .. } => {}
         }
@@ -332,6 +345,10 @@
         false
     }
 
+    pub fn elect_now(&self) -> ReplicaId {
+        self.leader().expect("a leader")
+    }
+
     pub fn elect(&mut self) -> ReplicaId {
         for _ in 0..5000 {
             self.step();
--- a/crates/replication/tests/scenarios.rs
+++ b/crates/replication/tests/scenarios.rs
@@ -403,3 +403,109 @@
     cluster.run(400);
     assert_eq!(cluster.nodes[&leader].commit, commit);
 }
+
+/// Group of three whose joining replicas make at most three voters.
+fn seated(seed: u64) -> (Cluster, ReplicaId) {
+    let mut cluster = Cluster::new(seed, 0, QUIET);
+    cluster.voters = Some(3);
+    cluster.found(3);
+    let leader = cluster.elect();
+    fill(&mut cluster, 10);
+    (cluster, leader)
+}
+
+/// Starts a replica at a new address and lets it join.
+fn join(cluster: &mut Cluster, number: u64) -> ReplicaId {
+    let leader = cluster.elect();
+    let new = ReplicaId(cluster.nodes[&leader].state.config().next);
+    let change = Change::Join {
+        address: address(number),
+    };
+    cluster.event(leader, Event::Change { token: 1, change });
+    cluster.run(50);
+    cluster.boot(new, Restored::default());
+    new
+}
+
+fn voters(cluster: &Cluster, at: ReplicaId) -> Vec<ReplicaId> {
+    cluster.nodes[&at].state.config().voters().collect()
+}
+
+/// Guards against a replica that is gone for good and keeps its seat: with an empty one in its
+/// place at another address, the loss of one more would stop the group.
+#[test]
+fn a_silent_voter_loses_its_seat_to_one_that_joined() {
+    for seed in 40..50 {
+        let (mut cluster, leader) = seated(seed);
+        let (gone, other) = others(leader);
+        cluster.crash(gone);
+        cluster.run(500);
+        let new = join(&mut cluster, 9);
+        cluster.run(2_500);
+        let leader = cluster.elect();
+        let now = voters(&cluster, leader);
+        assert_eq!(now.len(), 3, "{now:?}");
+        assert!(now.contains(&new) && !now.contains(&gone), "{now:?}");
+        cluster.crash(other);
+        fill(&mut cluster, 10);
+    }
+}
+
+/// Guards against a replica that joins and takes the seat of one that runs, or makes the group
+/// need more votes than it was set up for.
+#[test]
+fn a_spare_replica_waits_for_a_seat() {
+    let (mut cluster, leader) = seated(51);
+    let (stopped, _) = others(leader);
+    let spare = join(&mut cluster, 9);
+    cluster.run(5_000);
+    assert!(!voters(&cluster, leader).contains(&spare));
+    assert_eq!(voters(&cluster, leader).len(), 3);
+    // A restart is shorter than the silence that costs the seat.
+    cluster.crash(stopped);
+    cluster.run(1_000);
+    cluster.restart(stopped);
+    cluster.run(3_000);
+    assert!(voters(&cluster, leader).contains(&stopped));
+    // The planned replacement: the old one ends for good.
+    cluster.crash(stopped);
+    cluster.run(3_000);
+    let now = voters(&cluster, cluster.elect_now());
+    assert!(now.contains(&spare) && !now.contains(&stopped), "{now:?}");
+}
+
+/// Guards against replicas beyond the seeds that never vote although more votes are wanted.
+#[test]
+fn free_seats_are_taken() {
+    let (mut cluster, _) = seated(52);
+    cluster.voters = Some(5);
+    for number in 1..=3 {
+        cluster.crash(id(number));
+        cluster.restart(id(number));
+        cluster.run(500);
+    }
+    for number in [8, 9, 10] {
+        join(&mut cluster, number);
+        cluster.run(1_000);
+    }
+    let leader = cluster.elect();
+    assert_eq!(voters(&cluster, leader).len(), 5);
+}
+
+/// Guards against a removed voter that comes back and stays alone for ever: it has to learn that it
+/// was removed, and no other replica may believe so.
+#[test]
+fn a_removed_voter_learns_it() {
+    for seed in 60..70 {
+        let (mut cluster, leader) = seated(seed);
+        let (gone, _) = others(leader);
+        cluster.crash(gone);
+        join(&mut cluster, 9);
+        cluster.run(3_000);
+        fill(&mut cluster, 5);
+        cluster.restart(gone);
+        cluster.run(3_000);
+        assert!(cluster.removed.contains(&gone), "seed {seed}");
+        assert!(cluster.removed.iter().all(|id| *id == gone));
+    }
+}
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -10,6 +10,9 @@
 use crate::segment::Segment;
 use crate::{Identity, Record, Snapshot, StorageError, files, segment, snapshot, vote};
 
+/// File that marks a folder whose files are to be removed.
+const DISCARD: &str = "discard";
+
 /// Settings of the files.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -60,6 +63,7 @@
         fs::create_dir_all(folder).map_err(|e| StorageError::io("create", folder, e))?;
         let lock = lock(folder)?;
         remove_temporary(folder)?;
+        finish_discard(folder)?;
         let mut contents = Contents {
             identity: vote::read(folder)?,
             ..Contents::default()
@@ -145,6 +149,15 @@
         Ok(())
     }
 
+    /// Removes everything in the folder; the replica starts like one without files.
+    ///
+    /// # Errors
+    /// When a file can't be removed; the next open goes on with it.
+    pub fn discard(self) -> Result<(), StorageError> {
+        files::replace(&self.folder.join(DISCARD), &[])?;
+        finish_discard(&self.folder)
+    }
+
     /// Last index, with staged records.
     #[must_use]
     pub fn last(&self) -> u64 {
@@ -294,6 +307,23 @@
     }
 }
 
+/// Removes the files of a replica that was discarded; a crash may have come in between.
+fn finish_discard(folder: &Path) -> Result<(), StorageError> {
+    let marker = folder.join(DISCARD);
+    if files::read(&marker)?.is_none() {
+        return Ok(());
+    }
+    for prefix in [segment::PREFIX, snapshot::PREFIX] {
+        for (_, path) in files::numbered(folder, prefix)? {
+            files::remove(&path)?;
+        }
+    }
+    files::remove(&folder.join(vote::NAME))?;
+    files::sync_folder(&marker)?;
+    files::remove(&marker)?;
+    files::sync_folder(&marker)
+}
+
 fn lock(folder: &Path) -> Result<File, StorageError> {
     let path = folder.join("lock");
     let options = File::options().create(true).append(true).open(&path);
