--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -149,10 +149,14 @@
         self.shared.reports().current(Instant::now()).is_some()
     }
 
-    /// Tells control that this process ends, at most for `limit`.
+    /// Tells control that this member leaves, at most for `limit`, unless its backend server goes
+    /// on: then the next process here finds its flows, and siblings must not take them for lost.
     pub async fn stop(&self, limit: Duration) {
-        // Without an answer the lease ends by itself.
-        let _ = tokio::time::timeout(limit, self.watcher.leave()).await;
+        let current = self.shared.reports().current(Instant::now());
+        if current.is_none_or(|backend| !backend.accepts) {
+            // Without an answer the lease ends by itself.
+            let _ = tokio::time::timeout(limit, self.watcher.leave()).await;
+        }
     }
 }
 
