Refuse unknown routes only with a directory in force

The view counts as heard as soon as the watcher has it, the directory that the packet loop uses follows a loop round later, so a SYN in between was refused with NoRoute by an empty directory although its route existed. Ruled out: a stale view (its version was the current one) and the settle time (it applies to NoMember only).

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use steering::Owners;
 use tokio::time::Instant;
-use units::{DataCentre, Epoch, Flow, ServiceId};
+use units::{DataCentre, Epoch, Flow, ServiceId, Version};
 use wire::{Candidate, Candidates, Header, Hints, Notice, Segment};
 
 use crate::directory::{self, Directory};
@@ -96,7 +96,9 @@
         if segment.opens() {
             out.push(match self.open(now, directory, segment, inner) {
                 Ok(header) => Action::Send(header),
-                Err(reason) if current && self.is_settled(now, reason) => Action::Refuse(reason),
+                Err(reason) if current && self.is_settled(now, directory, reason) => {
+                    Action::Refuse(reason)
+                }
                 Err(reason) => Action::Drop(reason),
             });
         } else {
@@ -104,8 +106,13 @@
         }
     }
 
-    fn is_settled(&self, now: Instant, reason: DropReason) -> bool {
-        reason != DropReason::NoMember || now >= self.start + self.settings.settle
+    /// Whether a reason can be relied on: an empty directory knows no route, and shortly after the
+    /// start not every member.
+    fn is_settled(&self, now: Instant, directory: &Directory, reason: DropReason) -> bool {
+        match reason {
+            DropReason::NoMember => now >= self.start + self.settings.settle,
+            _ => directory.config() > Version(0),
+        }
     }
 
     /// A notice with a valid tag.
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -60,6 +60,10 @@
 }
 
 /// What to do.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "actions live for one packet; boxing the header would allocate for each"
+)]
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// Hand the packet to the connection of its flow.
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -16,6 +16,10 @@
 };
 
 /// Where a SYN goes.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "a place lives for one packet; boxing the header would allocate for each SYN"
+)]
 enum Place {
     Here(Reason),
     There(Header, Reason),
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -240,6 +240,10 @@
 const REDIRECTED: Epoch = Epoch(0);
 
 /// A decoded datagram.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "a packet header stays on the stack; boxing it would allocate for each packet"
+)]
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message<'a> {
     /// Inner packet with its header.
