Let a half-open copy of a SYN cast no doubt on a search

Ruled out: a member that was not visited (the trace shows all five).

Change: a half-open flow whose SYN-ACK was seen tells that the backend server holds another flow. forwarding gets its tests: 44 single decisions and a simulation of three balancers and five agents with lost packets, restarts of every kind and drains; it checks that no held flow is reset, every other flow is served or its caller told, no backend server gets strangers' packets again and again, and all slots come back. a_copy_of_a_syn_casts_no_doubt fails without the change.

--- a/crates/forwarding/src/packet.rs
+++ b/crates/forwarding/src/packet.rs
@@ -160,6 +160,8 @@
     /// Whether the backend server surely does not hold a flow that is not known here.
     fn is_sure(&self, flow: &Flow) -> bool {
         let known = self.backend.is_some_and(|backend| !backend.older);
-        known || self.offers.was_returned(flow)
+        // A copy of the flow's SYN opened another flow there, which this packet doesn't fit.
+        let copy = self.held.get(flow).is_some_and(|h| h.initial_seq.is_some());
+        known || copy || self.offers.was_returned(flow)
     }
 }
--- /dev/null
+++ b/crates/forwarding/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Decisions of agents about opaque flows.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
+mod common;
+mod fleet;
+mod flows;
+mod lost;
+mod placement;
+mod siblings;
