--- a/crates/opaque/src/agent/backend.rs
+++ b/crates/opaque/src/agent/backend.rs
@@ -38,8 +38,6 @@
     pub slots: u16,
     /// State.
     pub state: BackendState,
-    /// Time for which it is still slow after its start.
-    pub cold: Duration,
 }
 
 /// A report that is not of this agent's backend server.
@@ -59,8 +57,10 @@
 
 /// Whether a report changed what others need to know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Reported {
+pub enum Reported {
+    /// It did.
     Changed,
+    /// It didn't.
     Same,
 }
 
@@ -76,7 +76,7 @@
 
 /// Newest report of the newest start.
 #[derive(Debug)]
-pub(super) struct Reports {
+pub struct Reports {
     service: ServiceName,
     silence: Duration,
     known: Option<Known>,
@@ -84,7 +84,9 @@
 }
 
 impl Reports {
-    pub(super) fn new(service: ServiceName, silence: Duration) -> Self {
+    /// Nothing heard yet; a backend server counts as lost after `silence` without a report.
+    #[must_use]
+    pub fn new(service: ServiceName, silence: Duration) -> Self {
         Self {
             service,
             silence,
@@ -93,16 +95,17 @@
         }
     }
 
-    pub(super) fn service(&self) -> &ServiceName {
+    /// Service of the agent.
+    #[must_use]
+    pub fn service(&self) -> &ServiceName {
         &self.service
     }
 
     /// Takes a report; a late one changes nothing.
-    pub(super) fn take(
-        &mut self,
-        now: Instant,
-        report: BackendReport,
-    ) -> Result<Reported, ReportError> {
+    ///
+    /// # Errors
+    /// When it is of another service.
+    pub fn take(&mut self, now: Instant, report: BackendReport) -> Result<Reported, ReportError> {
         if report.service != self.service {
             return Err(ReportError::Service {
                 id: report.id,
@@ -137,7 +140,7 @@
     }
 
     /// The backend server left.
-    pub(super) fn left(&mut self, id: &str) -> Reported {
+    pub fn left(&mut self, id: &str) -> Reported {
         let known = self.known.take_if(|known| *known.report.id == *id);
         if known.is_some() {
             Reported::Changed
@@ -147,7 +150,8 @@
     }
 
     /// The backend server, unless it was silent for too long.
-    pub(super) fn current(&self, now: Instant) -> Option<Backend> {
+    #[must_use]
+    pub fn current(&self, now: Instant) -> Option<Backend> {
         let known = self.known.as_ref()?;
         (now < known.heard + self.silence).then(|| Backend {
             incarnation: known.incarnation,
@@ -158,7 +162,8 @@
     }
 
     /// When the backend server counts as lost if no report comes.
-    pub(super) fn deadline(&self) -> Option<Instant> {
+    #[must_use]
+    pub fn deadline(&self) -> Option<Instant> {
         self.known.as_ref().map(|known| known.heard + self.silence)
     }
 }
--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -18,8 +18,7 @@
 use wire::{Candidate, Codec};
 
 use crate::{OpaqueError, incarnation, socket};
-pub use backend::{BackendReport, BackendState, ReportError};
-use backend::{Reported, Reports};
+pub use backend::{BackendReport, BackendState, ReportError, Reported, Reports};
 use packets::Packets;
 pub use settings::AgentSettings;
 
