Answer a watch without wait in the agents' stand-in for control

Since a node's first watch asks with a wait of 0 ms. The stand-in's loop ran wait/20 times, so it never looked for changes and answered with its configuration version and no services; the agent then held that version without its service. Ruled out: control itself, which looks before it waits (bin/control/src/http/process.rs).

Change: the stand-in looks at least once, then waits.

--- a/bin/agent/tests/rig/control.rs
+++ b/bin/agent/tests/rig/control.rs
@@ -83,11 +83,16 @@
     let request = Request::<Watch>::open(&key, api::path::WATCH, &body)?;
     // This fake counts its epochs as log indexes.
     let held = request.message.index;
-    for _ in 0..request.message.wait_ms.0 / 20 {
+    let mut left = request.message.wait_ms.0 / 20;
+    loop {
         let newer = newer(context.context(), request.message.config, held);
         if let Some(reply) = newer {
             return request.reply(&key, &reply);
         }
+        if left == 0 {
+            break;
+        }
+        left -= 1;
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let config = Version(1);
