Keep one blank between address and profile in lists

Cause: each_exit_code_has_its_cause failed: since services may have no address, list printed two blanks before 'profile'.

Change: the parts are joined by one blank again, whichever are there.

Before/after: codes::each_exit_code_has_its_cause failed / passed.

--- a/bin/jacinthsill/src/text.rs
+++ b/bin/jacinthsill/src/text.rs
@@ -65,10 +65,11 @@
         match &stored.body {
             profile::Declaration::Profile(_) => {}
             profile::Declaration::Service(service) => {
+                line += " ";
                 if let Some(address) = service.address {
-                    line += &format!("  {address}");
+                    line += &format!(" {address}");
                 }
-                line += &format!("  profile {}", service.profile);
+                line += &format!(" profile {}", service.profile);
             }
             profile::Declaration::Route(route) => {
                 let names = route.targets.iter().map(|t| t.service.to_string());
