--- a/bin/agent/src/run.rs
+++ b/bin/agent/src/run.rs
@@ -5,12 +5,11 @@
 use std::time::Duration;
 
 use api::{Order, Role, Scope};
-use cadence::StatsdClient;
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
 use requests::{Handler, HandlerSettings};
 use rpc::{Client, Key};
 use slog::{Logger, info, warn};
-use startup::Stop;
+use startup::{Metrics, Stop, Telemetry};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 use units::Incarnation;
@@ -63,8 +62,9 @@
 }
 
 async fn serve(settings: Settings, key: Key) -> Result<(), AgentError> {
-    let log = startup::logger(&settings.log, "agent", settings.host.as_str());
-    let metrics = startup::metrics(&settings.metrics, "agent")?;
+    let host = settings.host.as_str();
+    let telemetry = Telemetry::start(&settings.log, &settings.metrics, "agent", host)?;
+    let log = telemetry.log.clone();
     let mut stop = Stop::listen()?;
     raise_file_limit(&log);
     let socket = packets::open(settings.packets)?;
@@ -110,7 +110,7 @@
         watcher.contact(),
         log.clone(),
     ));
-    tokio::spawn(emit(metrics, Arc::clone(&shared)));
+    tokio::spawn(emit(telemetry.metrics.clone(), Arc::clone(&shared)));
     let (end_counts, counts_ended) = oneshot::channel::<()>();
     let burn = Burn::new(Arc::clone(&shared), client, log.clone());
     let burn = tokio::spawn(burn.run(async {
@@ -221,7 +221,7 @@
     }
 }
 
-async fn emit(metrics: StatsdClient, shared: Arc<Shared>) {
+async fn emit(metrics: Metrics, shared: Arc<Shared>) {
     let mut before = stats::Snapshot::default();
     loop {
         sleep(METRICS_INTERVAL).await;
--- a/bin/agent/tests/rig/mod.rs
+++ b/bin/agent/tests/rig/mod.rs
@@ -172,10 +172,10 @@
         let settings: serde_json::Value = serde_json::from_str(&text).expect("JSON");
         let address = |name: &str| settings[name].as_str().expect("an address").to_owned();
         let mut child = command(&path).spawn().expect("an agent");
-        let stderr = child.stderr.take().expect("its log");
+        let stdout = child.stdout.take().expect("its log");
         let (ready, became_ready) = tokio::sync::oneshot::channel();
         tokio::spawn(async move {
-            let mut lines = BufReader::new(stderr).lines();
+            let mut lines = BufReader::new(stdout).lines();
             let mut ready = Some(ready);
             while let Ok(Some(line)) = lines.next_line().await {
                 if line.contains("\"msg\":\"ready\"") {
@@ -265,6 +265,7 @@
     command
         .arg("--settings")
         .arg(settings)
+        .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .kill_on_drop(true);
     command
--- a/bin/balancer/src/run.rs
+++ b/bin/balancer/src/run.rs
@@ -4,10 +4,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use api::{Role, Scope};
-use cadence::StatsdClient;
 use rpc::{Client, Key};
 use slog::{Logger, info};
-use startup::Stop;
+use startup::{Metrics, Stop, Telemetry};
 use tokio::sync::watch;
 use units::{Incarnation, Millis};
 use watcher::{Beat, Replicas, View, Watcher, WatcherSettings};
@@ -45,8 +44,9 @@
 }
 
 async fn serve(settings: Settings, key: Key) -> Result<(), BalancerError> {
-    let log = startup::logger(&settings.log, "balancer", settings.host.as_str());
-    let metrics = startup::metrics(&settings.metrics, "balancer")?;
+    let host = settings.host.as_str();
+    let telemetry = Telemetry::start(&settings.log, &settings.metrics, "balancer", host)?;
+    let log = telemetry.log.clone();
     let mut stop = Stop::listen()?;
     let stats = Arc::new(Stats::default());
     let mut sockets = Vec::new();
@@ -71,7 +71,7 @@
         );
         tokio::spawn(worker.run());
     }
-    tokio::spawn(emit(metrics, Arc::clone(&stats)));
+    tokio::spawn(emit(telemetry.metrics.clone(), Arc::clone(&stats)));
     let context = Context {
         stats: Arc::clone(&stats),
         view: watcher.view(),
@@ -135,7 +135,7 @@
     }
 }
 
-async fn emit(metrics: StatsdClient, counters: Arc<Stats>) {
+async fn emit(metrics: Metrics, counters: Arc<Stats>) {
     let mut before = stats::Snapshot::default();
     loop {
         tokio::time::sleep(METRICS_INTERVAL).await;
--- a/bin/control/src/lib.rs
+++ b/bin/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod run;
 mod settings;
+mod summary;
 
 pub use http::Api;
 pub use node::Node;
--- a/bin/control/src/node.rs
+++ b/bin/control/src/node.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use api::ReplaceReply;
-use cadence::{CountedExt, StatsdClient};
+use cadence::{CountedExt, Timed};
 use membership::{Membership, Now};
 use profile::Deployment;
 use replica::{Machine, ProposeError, Replica};
 use rpc::Key;
+use slog::{Logger, info, warn};
+use startup::{Metrics, Telemetry};
 use state::{Action, Command, Outcome, State};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -18,6 +20,7 @@
 
 use crate::burn::Waiting;
 use crate::settings::Settings;
+use crate::summary;
 
 /// One control replica.
 #[derive(Debug)]
@@ -26,8 +29,10 @@
     pub settings: Settings,
     /// Shared key.
     pub key: Key,
+    /// Logger.
+    pub log: Logger,
     /// Metrics.
-    pub metrics: StatsdClient,
+    pub metrics: Metrics,
     /// Batches that wait for a proposal.
     pub batches: mpsc::Sender<Waiting>,
     state: RwLock<State>,
@@ -43,13 +48,14 @@
     pub fn new(
         settings: Settings,
         key: Key,
-        metrics: StatsdClient,
+        telemetry: &Telemetry,
         batches: mpsc::Sender<Waiting>,
     ) -> Self {
         Self {
             settings,
             key,
-            metrics,
+            log: telemetry.log.clone(),
+            metrics: telemetry.metrics.clone(),
             batches,
             state: RwLock::default(),
             changed: watch::Sender::new(0),
@@ -155,20 +161,37 @@
         let refused = |e: state::StateError| ProposeError::Refused {
             reason: e.to_string().into(),
         };
+        let what = summary::of(&action);
         let command = Command {
             at: now().unix,
             action,
         };
         let raw = command.encode().map_err(refused)?;
+        let start = Instant::now();
         let answer = self.replica()?.propose(raw).await;
+        let took = start.elapsed();
+        self.time("proposal", took);
         self.count(if answer.is_ok() {
             "proposal.committed"
         } else {
             "proposal.failed"
         });
-        Outcome::decode(&answer?).map_err(|e| ProposeError::Unknown {
-            reason: e.to_string().into(),
-        })
+        let outcome = answer.and_then(|answer| {
+            Outcome::decode(&answer).map_err(|e| ProposeError::Unknown {
+                reason: e.to_string().into(),
+            })
+        });
+        let ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        match &outcome {
+            Ok(outcome) => {
+                let outcome = summary::of_outcome(outcome);
+                info!(self.log, "proposal committed"; "what" => what, "outcome" => outcome, "ms" => ms);
+            }
+            Err(error) => {
+                warn!(self.log, "proposal failed"; "what" => what, "error" => %error, "ms" => ms);
+            }
+        }
+        outcome
     }
 
     /// Commits a whole configuration.
@@ -183,6 +206,8 @@
         // A quorum would have to store it only to learn that it changes nothing.
         if deployment.revision <= self.state().revision() {
             self.replica()?.confirm().await?;
+            info!(self.log, "configuration acknowledged without change";
+                "revision" => deployment.revision.0, "held" => self.state().revision().0);
             return Ok(Outcome::Replaced(ReplaceReply {
                 revision: self.state().revision(),
                 changed: false,
@@ -202,6 +227,11 @@
         Ok(self.state().source().cloned())
     }
 
+    fn time(&self, name: &str, time: Duration) {
+        // Metrics are best effort; a full queue must not fail a request.
+        let _sent = self.metrics.time(name, time);
+    }
+
     /// Counts an event in the metrics.
     pub fn count(&self, name: &str) {
         // Metrics are best effort; a full queue must not fail a request.
--- a/bin/control/src/run.rs
+++ b/bin/control/src/run.rs
@@ -7,7 +7,7 @@
 use replica::{Replica, Role};
 use rpc::{Client, Key};
 use slog::{Logger, info, warn};
-use startup::Stop;
+use startup::{Stop, Telemetry};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -43,9 +43,11 @@
 }
 
 async fn serve(settings: Settings, key: Key) -> Result<(), ControlError> {
-    let log = startup::logger(&settings.log, "control", settings.host.as_str());
+    let host = settings.host.as_str();
+    let telemetry = Telemetry::start(&settings.log, &settings.metrics, "control", host)?;
+    let log = &telemetry.log;
     let mut stop = Stop::listen()?;
-    let control = Control::start(settings, key, &log, |_| Ok(())).await?;
+    let control = Control::start(settings, key, &telemetry, |_| Ok(())).await?;
     stop.graceful().await;
     info!(log, "stopping");
     tokio::select! {
@@ -80,12 +82,12 @@
     pub async fn start(
         settings: Settings,
         key: Key,
-        log: &Logger,
+        telemetry: &Telemetry,
         extend: impl FnOnce(&mut Api) -> Result<(), ApiDescriptionRegisterError>,
     ) -> Result<Self, ControlError> {
-        let metrics = startup::metrics(&settings.metrics, "control")?;
+        let log = &telemetry.log;
         let (sender, queue) = mpsc::channel(burn::QUEUE);
-        let node = Arc::new(Node::new(settings, key.clone(), metrics, sender));
+        let node = Arc::new(Node::new(settings, key.clone(), telemetry, sender));
         // The replica asks its peers while it starts, so the server comes first.
         let server = http::start(Arc::clone(&node), log, extend)?;
         let replica = Replica::start(
--- a/bin/control/tests/all/harness.rs
+++ b/bin/control/tests/all/harness.rs
@@ -89,11 +89,11 @@
             .arg("--settings")
             .arg(self.settings(index))
             .current_dir(self.dir.path())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
         let (sender, ready) = mpsc::channel();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let kept = Arc::clone(&self.lines[index]);
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
--- a/bin/load/src/command/backend.rs
+++ b/bin/load/src/command/backend.rs
@@ -25,7 +25,7 @@
     if flags.echo {
         settings.mode = Mode::Echo;
     }
-    let log = logger(&LogSettings::default(), "load backend", &settings.host);
+    let (log, _flush) = logger(&LogSettings::default(), "load backend", &settings.host);
     let backend = Backend::start(settings)
         .await
         .map_err(LoadError::io("listen"))?;
--- a/bin/load/src/command/fabric.rs
+++ b/bin/load/src/command/fabric.rs
@@ -11,7 +11,7 @@
 
 pub(super) async fn run(flags: crate::cli::Fabric) -> Result<ExitCode, LoadError> {
     let settings = startup::load::<FabricSettings>(&flags.settings)?.value;
-    let log = logger(&LogSettings::default(), "load fabric", "fabric");
+    let (log, _flush) = logger(&LogSettings::default(), "load fabric", "fabric");
     let fabric = Fabric::start(settings).map_err(LoadError::io("listen"))?;
     slog::info!(log, "ready");
     let reader = {
--- a/bin/load/src/command/proxy.rs
+++ b/bin/load/src/command/proxy.rs
@@ -52,7 +52,7 @@
         let proxy = UdpProxy::start(flags.listen, flags.target, plan, seed).await;
         Either::Udp(proxy.map_err(start)?)
     };
-    let log = logger(&LogSettings::default(), "load proxy", "proxy");
+    let (log, _flush) = logger(&LogSettings::default(), "load proxy", "proxy");
     slog::info!(log, "ready"; "listen" => %flags.listen, "target" => %flags.target);
     let lines = async {
         let mut lines = BufReader::new(tokio::io::stdin()).lines();
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -97,6 +97,16 @@
     },
 }
 
+/// What was timed; the name is the metric's name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Timing {
+    /// From the delivery of a SYN to the backend server's SYN-ACK.
+    SynAnswer,
+    /// From the first packet of a request to the first of its answer.
+    Request,
+}
+
 /// Why a packet goes where it goes; the name is the log's.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[display(rename_all = "snake_case")]
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -13,7 +13,7 @@
 use crate::balance::Siblings;
 use crate::held::{Busy, Held};
 use crate::pending::{Offers, Waiting};
-use crate::{Action, Backend, Event, ForwardSettings, Reason};
+use crate::{Action, Backend, Event, ForwardSettings, Reason, Timing};
 
 /// Service of this agent.
 #[derive(Debug, Clone)]
@@ -58,6 +58,8 @@
     pub(crate) reserved: Waiting,
     /// Registrations to repeat, by time.
     pub(crate) repeats: BTreeSet<(Instant, Flow)>,
+    /// Times since the last call of [`Forwarder::times`].
+    pub(crate) times: Vec<(Timing, Duration)>,
     pub(crate) load_at: Instant,
     pub(crate) sweep_at: Instant,
 }
@@ -83,6 +85,7 @@
             waiting: Waiting::new(),
             reserved: Waiting::new(),
             repeats: BTreeSet::new(),
+            times: Vec::new(),
             load_at: now,
             sweep_at: now,
             settings,
@@ -145,6 +148,17 @@
         }
     }
 
+    /// Takes what was timed since the last call.
+    pub fn times(&mut self) -> std::vec::Drain<'_, (Timing, Duration)> {
+        self.times.drain(..)
+    }
+
+    /// Whether the backend server left a SYN unanswered and was not heard since.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.silent.is_some()
+    }
+
     /// Flows held here, ended ones included.
     #[must_use]
     pub fn held(&self) -> usize {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -29,6 +29,6 @@
 mod settings;
 mod sweep;
 
-pub use event::{Action, Backend, DropReason, Event, Reason};
+pub use event::{Action, Backend, DropReason, Event, Reason, Timing};
 pub use forwarder::Forwarder;
 pub use settings::ForwardSettings;
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -3,7 +3,8 @@
 use tokio::time::Instant;
 use wire::Segment;
 
-use crate::{Action, DropReason, Forwarder, Reason};
+use crate::held::Busy;
+use crate::{Action, DropReason, Forwarder, Reason, Timing};
 
 impl Forwarder {
     /// A packet of the backend server to a caller.
@@ -28,7 +29,15 @@
         let before = held.ended.is_some();
         let pending = held.pending.take();
         let answers = held.outbound(now, segment);
+        if let Some(pending) = &pending {
+            let time = now.saturating_duration_since(pending.at);
+            self.times.push((Timing::SynAnswer, time));
+        }
         if answers {
+            if let Some(Busy::Working(since)) = held.busy {
+                let time = now.saturating_duration_since(since);
+                self.times.push((Timing::Request, time));
+            }
             self.finish(&flow);
         }
         self.note_ended(&flow, before);
--- a/crates/forwarding/src/pending.rs
+++ b/crates/forwarding/src/pending.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Pending {
     pub(crate) header: Header,
     pub(crate) inner: Box<[u8]>,
+    /// When it was delivered.
+    pub(crate) at: Instant,
 }
 
 /// Flows in the order in which something is due; those that need it no more stay until then.
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -70,6 +70,7 @@
         held.pending = Some(Box::new(Pending {
             header: *header,
             inner: inner.into(),
+            at: now,
         }));
         self.waiting.push_back((now + self.settings.answer, flow));
         // The request follows the handshake at once, so the slot is taken from here on.
--- a/crates/opaque/src/agent/backend.rs
+++ b/crates/opaque/src/agent/backend.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use forwarding::Backend;
 use thiserror::Error;
 use tokio::time::Instant;
@@ -15,7 +16,8 @@
 const FIRST_REPORTS: u64 = 2;
 
 /// Whether the backend server takes new flows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
 pub enum BackendState {
     /// It does.
     Ready,
@@ -55,13 +57,16 @@
     },
 }
 
-/// Whether a report changed what others need to know.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What a report changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
 pub enum Reported {
-    /// It did.
+    /// Something that others need to know.
     Changed,
-    /// It didn't.
+    /// Nothing but the time when the backend server was heard.
     Same,
+    /// Nothing: it is older than what is known, or names another start.
+    Late,
 }
 
 #[derive(Debug, Clone)]
@@ -116,12 +121,15 @@
         let before = self.current(now);
         match &mut self.known {
             Some(known) if is_same_start(&known.report, &report) => {
-                if report.number > known.report.number {
-                    known.report = report;
-                    known.heard = now;
+                if report.number <= known.report.number {
+                    return Ok(Reported::Late);
                 }
+                known.report = report;
+                known.heard = now;
+            }
+            Some(known) if is_late(known, &report, now, self.silence) => {
+                return Ok(Reported::Late);
             }
-            Some(known) if is_late(known, &report, now, self.silence) => {}
             _ => {
                 self.starts += 1;
                 self.known = Some(Known {
@@ -145,7 +153,7 @@
         if known.is_some() {
             Reported::Changed
         } else {
-            Reported::Same
+            Reported::Late
         }
     }
 
--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! Agent for opaque flows.
 
 mod backend;
+mod outcome;
 mod packets;
 mod settings;
 
@@ -10,13 +11,15 @@
 use api::{Announcement, MemberState, Role, Scope};
 use forwarding::{ForwardSettings, Forwarder};
 use rpc::{Client, Key};
-use slog::Logger;
+use slog::{Logger, info, warn};
+use startup::Telemetry;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use units::{Slots, Weight};
 use watcher::{Beat, Replicas, Watcher};
 use wire::{Candidate, Codec};
 
+use crate::tally::Tally;
 use crate::{OpaqueError, incarnation, socket};
 pub use backend::{BackendReport, BackendState, ReportError, Reported, Reports};
 use packets::Packets;
@@ -44,6 +47,7 @@
     replicas: Arc<Replicas>,
     shared: Arc<Shared>,
     changes: mpsc::Sender<packets::Change>,
+    log: Logger,
 }
 
 impl Agent {
@@ -54,7 +58,7 @@
     pub fn start(
         settings: &AgentSettings,
         codec: Codec,
-        log: &Logger,
+        telemetry: &Telemetry,
     ) -> Result<Self, OpaqueError> {
         let key = Key::public(&settings.identity.deployment);
         let packets = socket::open(settings.packets, "packets")?;
@@ -73,6 +77,7 @@
                 .identity
                 .watcher(Role::Agent, scope, incarnation, Arc::clone(&replicas));
         let (for_beat, announced) = (Arc::clone(&shared), settings.clone());
+        let log = &telemetry.log;
         let watcher = Watcher::start(watched, Client::new(key.clone()), log.clone(), move || {
             Beat {
                 flows: 0,
@@ -97,7 +102,8 @@
             shared: Arc::clone(&shared),
             service: None,
             known: None,
-            log: log.clone(),
+            silent: false,
+            tally: Tally::new(telemetry, Instant::now()),
         };
         tokio::spawn(worker.run(watcher.view(), receiver));
         Ok(Self {
@@ -105,6 +111,7 @@
             replicas,
             shared,
             changes,
+            log: log.clone(),
         })
     }
 
@@ -119,15 +126,28 @@
     /// # Errors
     /// When the report is not of this agent's backend server.
     pub async fn report(&self, report: BackendReport) -> Result<(), ReportError> {
-        let changed = self.shared.reports().take(Instant::now(), report)?;
-        self.apply(changed).await;
+        let taken = self.shared.reports().take(Instant::now(), report.clone());
+        let taken = match taken {
+            Ok(taken) => taken,
+            Err(error) => {
+                warn!(self.log, "report of a backend server ignored"; "error" => %error);
+                return Err(error);
+            }
+        };
+        if taken != Reported::Same {
+            info!(self.log, "report of the backend server"; "outcome" => %taken,
+                "id" => report.id.as_ref(), "started" => report.started.0,
+                "number" => report.number, "state" => %report.state, "slots" => report.slots);
+        }
+        self.apply(taken).await;
         Ok(())
     }
 
     /// The backend server left; it is in force when this returns.
     pub async fn left(&self, id: &str) {
-        let changed = self.shared.reports().left(id);
-        self.apply(changed).await;
+        let left = self.shared.reports().left(id);
+        info!(self.log, "the backend server left"; "outcome" => %left, "id" => id);
+        self.apply(left).await;
     }
 
     async fn apply(&self, reported: Reported) {
--- a/crates/opaque/src/agent/packets.rs
+++ b/crates/opaque/src/agent/packets.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use forwarding::{Action, Backend, Event, Forwarder};
+use forwarding::{Action, Backend, DropReason, Event, Forwarder, Reason};
 use rpc::Key;
-use slog::{Logger, debug};
+use slog::{info, warn};
+use startup::Rank;
 use tokio::io::Interest;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -15,6 +16,8 @@
 use wire::{Candidate, Codec, Header, MAX_DATAGRAM, Message, Notice, Outbound};
 
 use super::Shared;
+use super::outcome::Outcome;
+use crate::tally::Tally;
 
 /// Datagrams handled before other tasks get a turn.
 const BATCH: usize = 64;
@@ -39,7 +42,18 @@
     pub(super) service: Option<ServiceId>,
     /// The backend server as the decisions know it.
     pub(super) known: Option<Backend>,
-    pub(super) log: Logger,
+    /// Whether the backend server left a SYN unanswered, as logged.
+    pub(super) silent: bool,
+    pub(super) tally: Tally<Outcome>,
+}
+
+/// Where a datagram goes out.
+#[derive(Debug, Clone, Copy)]
+enum Side {
+    /// To callers, balancers and agents.
+    Fabric,
+    /// To the backend server.
+    Backend,
 }
 
 /// Buffers of the loop.
@@ -88,6 +102,7 @@
             if self.forwarder.deadline() <= Instant::now() {
                 self.event(Event::Tick, &mut buffers);
             }
+            self.measure();
             tokio::task::yield_now().await;
         }
     }
@@ -114,7 +129,10 @@
                     segment
                 }
                 Err(reason) => {
-                    debug!(self.log, "invalid packet of the backend server"; "reason" => %reason);
+                    self.tally.count(Outcome::Invalid(reason));
+                    if let Some(log) = self.tally.line(Rank::Unusual, now) {
+                        warn!(log, "invalid packet of the backend server"; "reason" => %reason);
+                    }
                     continue;
                 }
             };
@@ -126,12 +144,13 @@
 
     fn receive_packets(&mut self, buffers: &mut Buffers) {
         for _ in 0..BATCH {
-            let Ok((length, _)) = self.packets.try_recv_from(&mut buffers.datagram) else {
+            let Ok((length, from)) = self.packets.try_recv_from(&mut buffers.datagram) else {
                 return;
             };
             let now = Instant::now();
             match wire::decode(&self.key, &buffers.datagram[..length]) {
                 Ok(Message::Notice(notice)) => {
+                    self.tally.count(Outcome::Notice);
                     let event = Event::Notice(&notice);
                     self.forwarder.handle(now, event, &mut buffers.actions);
                 }
@@ -147,9 +166,19 @@
                             self.act(action, inner, segment.flow, &mut buffers.out);
                         }
                     }
-                    Err(reason) => debug!(self.log, "invalid packet"; "reason" => %reason),
+                    Err(reason) => {
+                        self.tally.count(Outcome::Invalid(reason));
+                        if let Some(log) = self.tally.line(Rank::Unusual, now) {
+                            warn!(log, "invalid packet"; "reason" => %reason);
+                        }
+                    }
                 },
-                Err(error) => debug!(self.log, "invalid datagram"; "error" => %error),
+                Err(error) => {
+                    self.tally.count(Outcome::Foreign);
+                    if let Some(log) = self.tally.line(Rank::Unusual, now) {
+                        warn!(log, "invalid datagram"; "from" => %from, "error" => %error);
+                    }
+                }
             }
         }
     }
@@ -167,50 +196,102 @@
         }
     }
 
-    fn act(&self, action: Action, packet: &[u8], flow: Flow, out: &mut Vec<u8>) {
+    fn act(&mut self, action: Action, packet: &[u8], flow: Flow, out: &mut Vec<u8>) {
         match action {
             Action::Deliver(reason) => {
-                let load = self.forwarder.load();
-                debug!(self.log, "delivered"; "flow" => %flow, "reason" => %reason,
-                    "busy" => load.busy, "slots" => load.slots, "open" => load.open);
-                self.send(&self.outbound, packet, self.backend);
+                self.delivered(flow, reason);
+                self.send(Side::Backend, packet, self.backend);
             }
             Action::Forward(header, reason) => {
-                debug!(self.log, "passed on"; "flow" => %flow, "reason" => %reason);
+                self.passed_on(flow, &header, reason);
                 self.forward(&header, packet, out);
             }
             Action::Resend { header, inner, .. } => {
-                debug!(self.log, "backend server did not answer; passed on"; "flow" => %flow);
+                self.unanswered(flow, &header);
                 self.forward(&header, &inner, out);
             }
-            Action::Reply => self.send(&self.packets, packet, self.caller(flow)),
+            Action::Reply => {
+                self.tally.count(Outcome::Replied);
+                self.send(Side::Fabric, packet, self.caller(flow));
+            }
             Action::Reset { flow, seq, reason } => {
-                debug!(self.log, "reset"; "flow" => %flow, "reason" => %reason);
+                self.reset(flow, reason);
                 (self.codec.reset)(flow, seq, out);
-                self.send(&self.packets, out, self.caller(flow));
-            }
-            Action::Drop(reason) => {
-                debug!(self.log, "dropped"; "flow" => %flow, "reason" => %reason);
+                self.send(Side::Fabric, out, self.caller(flow));
             }
+            Action::Drop(reason) => self.dropped(flow, reason),
             Action::Notify { to, flows } => self.notify(to.into(), flows, out),
         }
     }
 
+    fn delivered(&mut self, flow: Flow, reason: Reason) {
+        self.tally.count(Outcome::Delivered(reason));
+        let rank = match reason {
+            Reason::Held => return,
+            Reason::Offer => Rank::Unusual,
+            _ => Rank::Usual,
+        };
+        let (load, epoch) = (self.forwarder.load(), self.forwarder.epoch());
+        if let Some(log) = self.tally.line(rank, Instant::now()) {
+            info!(log, "given to the backend server"; "flow" => %flow, "reason" => %reason,
+                "busy" => load.busy, "slots" => load.slots, "open" => load.open, "epoch" => epoch);
+        }
+    }
+
+    fn passed_on(&mut self, flow: Flow, header: &Header, reason: Reason) {
+        self.tally.count(Outcome::PassedOn(reason));
+        let rank = match reason {
+            Reason::Redirect => Rank::Usual,
+            _ => Rank::Unusual,
+        };
+        let (load, epoch) = (self.forwarder.load(), self.forwarder.epoch());
+        if let Some(log) = self.tally.line(rank, Instant::now()) {
+            info!(log, "passed on"; "flow" => %flow, "reason" => %reason,
+                "to" => header.target().map(|to| to.address.to_string()), "hop" => header.hop,
+                "busy" => load.busy, "slots" => load.slots, "open" => load.open, "epoch" => epoch);
+        }
+    }
+
+    fn unanswered(&mut self, flow: Flow, header: &Header) {
+        self.tally.count(Outcome::Unanswered);
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            info!(log, "passed on"; "flow" => %flow, "reason" => "syn_unanswered",
+                "to" => header.target().map(|to| to.address.to_string()), "hop" => header.hop);
+        }
+    }
+
+    fn reset(&mut self, flow: Flow, reason: Reason) {
+        self.tally.count(Outcome::Reset(reason));
+        let (load, epoch) = (self.forwarder.load(), self.forwarder.epoch());
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            warn!(log, "reset"; "flow" => %flow, "reason" => %reason,
+                "busy" => load.busy, "slots" => load.slots, "open" => load.open, "epoch" => epoch);
+        }
+    }
+
+    fn dropped(&mut self, flow: Flow, reason: DropReason) {
+        self.tally.count(Outcome::Dropped(reason));
+        let epoch = self.forwarder.epoch();
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            warn!(log, "dropped"; "flow" => %flow, "reason" => %reason, "epoch" => epoch);
+        }
+    }
+
     fn caller(&self, flow: Flow) -> SocketAddr {
         (*flow.caller.ip(), self.callers).into()
     }
 
-    fn forward(&self, header: &Header, packet: &[u8], out: &mut Vec<u8>) {
+    fn forward(&mut self, header: &Header, packet: &[u8], out: &mut Vec<u8>) {
         let Some(target) = header.target() else {
             return;
         };
         match wire::encode_packet(&self.key, header, packet, out) {
-            Ok(()) => self.send(&self.packets, out, target.address.into()),
-            Err(error) => debug!(self.log, "cannot encode a packet"; "error" => %error),
+            Ok(()) => self.send(Side::Fabric, out, target.address.into()),
+            Err(error) => self.unsent(target.address.into(), &error),
         }
     }
 
-    fn notify(&self, to: SocketAddr, flows: Vec<Flow>, out: &mut Vec<u8>) {
+    fn notify(&mut self, to: SocketAddr, flows: Vec<Flow>, out: &mut Vec<u8>) {
         let Some(service) = self.service else { return };
         let notice = Notice {
             service,
@@ -219,17 +300,59 @@
             load: self.forwarder.load(),
         };
         match wire::encode_notice(&self.key, &notice, out) {
-            Ok(()) => self.send(&self.packets, out, to),
-            Err(error) => debug!(self.log, "cannot encode a notice"; "error" => %error),
+            Ok(()) => self.send(Side::Fabric, out, to),
+            Err(error) => self.unsent(to, &error),
         }
     }
 
-    fn send(&self, socket: &UdpSocket, datagram: &[u8], to: SocketAddr) {
+    fn send(&mut self, side: Side, datagram: &[u8], to: SocketAddr) {
+        let socket = match side {
+            Side::Fabric => &self.packets,
+            Side::Backend => &self.outbound,
+        };
         if let Err(error) = socket.try_send_to(datagram, to) {
-            debug!(self.log, "datagram not sent"; "to" => %to, "error" => %error);
+            self.unsent(to, &error);
         }
     }
 
+    fn unsent(&mut self, to: SocketAddr, error: &dyn std::error::Error) {
+        self.tally.count(Outcome::Unsent);
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            warn!(log, "datagram not sent"; "to" => %to, "error" => %error);
+        }
+    }
+
+    /// Sends metrics, and logs when the backend server falls silent or is heard again.
+    fn measure(&mut self) {
+        self.tally.count(Outcome::Round);
+        for (timing, time) in self.forwarder.times() {
+            self.tally.time(&timing.to_string(), time);
+        }
+        let silent = self.forwarder.is_silent();
+        if silent != self.silent {
+            self.silent = silent;
+            if silent {
+                warn!(
+                    self.tally.log,
+                    "the backend server left a SYN unanswered; it gets no new flows"
+                );
+            } else {
+                info!(self.tally.log, "the backend server is heard again");
+            }
+        }
+        let forwarder = &self.forwarder;
+        self.tally.send(Instant::now(), || {
+            let load = forwarder.load();
+            [
+                ("open", load.open.into()),
+                ("busy", load.busy.into()),
+                ("held", forwarder.held() as u64),
+                ("redirects", forwarder.redirects() as u64),
+                ("epoch", forwarder.epoch()),
+            ]
+        });
+    }
+
     fn update(&mut self, view: &View, buffers: &mut Buffers) {
         let name = self.shared.reports().service().clone();
         let mut services = view.services.values();
@@ -246,7 +369,13 @@
         };
         self.event(event, buffers);
         if let Some(tables) = view.tables.get(&service.id) {
+            let before = self.forwarder.epoch();
             self.event(Event::Table(&tables.current), buffers);
+            let epoch = self.forwarder.epoch();
+            if epoch != before {
+                info!(self.tally.log, "members in force"; "epoch" => epoch,
+                    "members" => tables.current.members.len(), "config" => view.config.0);
+            }
         }
     }
 
@@ -260,6 +389,10 @@
     fn expire_backend(&mut self, buffers: &mut Buffers) {
         let backend = self.shared.reports().current(Instant::now());
         if backend.is_none() && self.known.is_some() {
+            warn!(
+                self.tally.log,
+                "no report of the backend server in time; it gets no new flows"
+            );
             self.update_backend(buffers);
         }
     }
--- a/crates/opaque/src/balancer/mod.rs
+++ b/crates/opaque/src/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! Balancer for opaque flows.
 
+mod outcome;
 mod packets;
 mod settings;
 mod stats;
@@ -11,11 +12,13 @@
 use dispatch::{Directory, Dispatch, DispatchSettings};
 use rpc::{Client, Key};
 use slog::{Logger, info};
+use startup::Telemetry;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 use watcher::{Beat, Replicas, View, Watcher};
 use wire::Codec;
 
+use crate::tally::Tally;
 use crate::{OpaqueError, incarnation, socket};
 use packets::Packets;
 pub use settings::BalancerSettings;
@@ -41,8 +44,9 @@
     pub fn start(
         settings: &BalancerSettings,
         codec: Codec,
-        log: &Logger,
+        telemetry: &Telemetry,
     ) -> Result<Self, OpaqueError> {
+        let log = &telemetry.log;
         let key = Key::public(&settings.identity.deployment);
         let packets = socket::open(settings.packets, "packets")?;
         let notices = socket::open(settings.notices, "notices")?;
@@ -75,7 +79,7 @@
             heard: watcher.heard(),
             callers: settings.packets.port(),
             stats: Arc::clone(&stats),
-            log: log.clone(),
+            tally: Tally::new(telemetry, Instant::now()),
         };
         tokio::spawn(worker.run());
         Ok(Self {
--- a/crates/opaque/src/balancer/packets.rs
+++ b/crates/opaque/src/balancer/packets.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Action, Directory, Dispatch};
+use dispatch::{Action, Directory, Dispatch, DropReason};
 use rpc::Key;
-use slog::{Logger, debug};
+use slog::{info, warn};
+use startup::Rank;
 use tokio::io::Interest;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -14,7 +15,9 @@
 use units::Flow;
 use wire::{Codec, Header, MAX_DATAGRAM, MAX_INNER, Message, Segment};
 
+use super::outcome::Outcome;
 use super::stats::BalancerStats;
+use crate::tally::Tally;
 
 /// Datagrams handled before other tasks get a turn.
 const BATCH: usize = 64;
@@ -36,7 +39,7 @@
     pub(super) heard: watch::Receiver<Option<Instant>>,
     pub(super) callers: u16,
     pub(super) stats: Arc<BalancerStats>,
-    pub(super) log: Logger,
+    pub(super) tally: Tally<Outcome>,
 }
 
 impl Packets {
@@ -63,6 +66,7 @@
                     self.act(action, &[], None, &mut out);
                 }
             }
+            self.measure();
             tokio::task::yield_now().await;
         }
     }
@@ -71,13 +75,16 @@
         let now = Instant::now();
         for _ in 0..BATCH {
             // Anything but a datagram ends the batch; the next wait reports lasting trouble.
-            let Ok((length, _)) = self.notices.try_recv_from(buffer) else {
+            let Ok((length, from)) = self.notices.try_recv_from(buffer) else {
                 return;
             };
             match wire::decode(&self.key, &buffer[..length]) {
-                Ok(Message::Notice(notice)) => self.dispatch.notice(now, &notice),
-                Ok(Message::Packet { .. }) => debug!(self.log, "packet at the notice address"),
-                Err(error) => debug!(self.log, "invalid notice"; "error" => %error),
+                Ok(Message::Notice(notice)) => {
+                    self.tally.count(Outcome::Notice);
+                    self.dispatch.notice(now, &notice);
+                }
+                Ok(Message::Packet { .. }) => self.foreign(from, &"packet at the notice address"),
+                Err(error) => self.foreign(from, &error),
             }
         }
     }
@@ -103,49 +110,133 @@
                         self.act(action, inner, Some(&segment), out);
                     }
                 }
-                Err(reason) => debug!(self.log, "invalid packet"; "reason" => %reason),
+                Err(reason) => {
+                    self.tally.count(Outcome::Invalid(reason));
+                    if let Some(log) = self.tally.line(Rank::Unusual, now) {
+                        warn!(log, "invalid packet"; "reason" => %reason);
+                    }
+                }
             }
         }
     }
 
-    fn act(&self, action: Action, inner: &[u8], segment: Option<&Segment>, out: &mut Vec<u8>) {
+    fn act(&mut self, action: Action, inner: &[u8], segment: Option<&Segment>, out: &mut Vec<u8>) {
         match action {
-            Action::Send(header) => self.send(&header, inner, out),
+            Action::Send(header) => {
+                if let Some(segment) = segment {
+                    self.sent(segment, &header);
+                }
+                self.send(&header, inner, out);
+            }
             Action::Resend {
                 flow,
                 header,
                 inner,
             } => {
-                debug!(self.log, "no owner heard of; trying the next candidate"; "flow" => %flow,
-                    "hop" => header.hop);
+                self.tally.count(Outcome::Unanswered);
+                if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+                    info!(log, "no owner heard of; SYN sent to the next candidate";
+                        "flow" => %flow, "to" => target(&header), "hop" => header.hop,
+                        "epoch" => header.epoch.0);
+                }
                 self.send(&header, &inner, out);
             }
             Action::Refuse(reason) => {
+                self.tally.count(Outcome::Refused(reason));
                 if let Some(segment) = segment {
-                    debug!(self.log, "refused"; "flow" => %segment.flow, "reason" => %reason);
+                    self.not_sent("refused", segment.flow, reason);
                     self.reset(segment.flow, out);
                 }
             }
-            Action::Drop(reason) => debug!(self.log, "dropped"; "reason" => %reason),
+            Action::Drop(reason) => {
+                self.tally.count(Outcome::Dropped(reason));
+                if let Some(segment) = segment {
+                    self.not_sent("dropped", segment.flow, reason);
+                }
+            }
+        }
+    }
+
+    fn sent(&mut self, segment: &Segment, header: &Header) {
+        let (outcome, message) = match (segment.opens(), header.hints.owned) {
+            (true, _) => (Outcome::Syn, "SYN sent"),
+            (false, true) => (Outcome::Owned, ""),
+            (false, false) => (
+                Outcome::Searched,
+                "owner not known; sent to where it may be",
+            ),
+        };
+        self.tally.count(outcome);
+        if outcome == Outcome::Owned {
+            return;
+        }
+        let (config, age) = self.view();
+        if let Some(log) = self.tally.line(Rank::Usual, Instant::now()) {
+            info!(log, "{message}"; "flow" => %segment.flow, "to" => target(header),
+                "candidates" => header.candidates.len(), "service" => header.service.0,
+                "epoch" => header.epoch.0, "config" => config, "view_age_ms" => age);
         }
     }
 
-    fn send(&self, header: &Header, inner: &[u8], out: &mut Vec<u8>) {
+    fn not_sent(&mut self, outcome: &str, flow: Flow, reason: DropReason) {
+        let (config, age) = self.view();
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            warn!(log, "{outcome}"; "flow" => %flow, "reason" => %reason,
+                "config" => config, "view_age_ms" => age);
+        }
+    }
+
+    /// Configuration in force, and how long ago control confirmed it, in ms.
+    fn view(&self) -> (u64, Option<u64>) {
+        let heard = *self.heard.borrow();
+        let age = heard.map(|at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX));
+        (self.directory.borrow().config().0, age)
+    }
+
+    fn foreign(&mut self, from: SocketAddr, error: &dyn std::fmt::Display) {
+        self.tally.count(Outcome::Foreign);
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            warn!(log, "invalid datagram"; "from" => %from, "error" => %error);
+        }
+    }
+
+    fn send(&mut self, header: &Header, inner: &[u8], out: &mut Vec<u8>) {
         let Some(target) = header.target() else {
             return;
         };
-        let sent = wire::encode_packet(&self.key, header, inner, out).is_ok()
-            && self.packets.try_send_to(out, target.address.into()).is_ok();
-        if !sent {
-            debug!(self.log, "packet not sent"; "to" => %target.address);
+        match wire::encode_packet(&self.key, header, inner, out) {
+            Ok(()) => self.put(out, target.address.into()),
+            Err(error) => self.unsent(target.address.into(), &error),
         }
     }
 
-    fn reset(&self, flow: Flow, out: &mut Vec<u8>) {
+    fn reset(&mut self, flow: Flow, out: &mut Vec<u8>) {
         (self.codec.reset)(flow, 0, out);
-        let caller = SocketAddr::from((*flow.caller.ip(), self.callers));
-        if let Err(error) = self.packets.try_send_to(out, caller) {
-            debug!(self.log, "reset not sent"; "flow" => %flow, "error" => %error);
+        self.put(out, (*flow.caller.ip(), self.callers).into());
+    }
+
+    fn put(&mut self, datagram: &[u8], to: SocketAddr) {
+        if let Err(error) = self.packets.try_send_to(datagram, to) {
+            self.unsent(to, &error);
+        }
+    }
+
+    fn unsent(&mut self, to: SocketAddr, error: &dyn std::error::Error) {
+        self.tally.count(Outcome::Unsent);
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            warn!(log, "datagram not sent"; "to" => %to, "error" => %error);
         }
     }
+
+    fn measure(&mut self) {
+        self.tally.count(Outcome::Round);
+        let (dispatch, config) = (&self.dispatch, self.directory.borrow().config().0);
+        self.tally.send(Instant::now(), || {
+            [("owners", dispatch.owners() as u64), ("config", config)]
+        });
+    }
+}
+
+fn target(header: &Header) -> Option<String> {
+    header.target().map(|target| target.address.to_string())
 }
--- a/crates/opaque/src/lib.rs
+++ b/crates/opaque/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod identity;
 mod socket;
+mod tally;
 
 pub use error::OpaqueError;
 pub use identity::{Identity, incarnation};
--- /dev/null
+++ b/crates/opaque/src/tally.rs
@@ -0,0 +1,82 @@
+//! What a packet loop counts and logs.
+
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::hash::Hash;
+use std::time::Duration;
+
+use cadence::prelude::*;
+use slog::{Logger, debug, warn};
+use startup::{Budget, Metrics, Rank, Telemetry};
+use tokio::time::Instant;
+
+/// Time between two rounds of metrics.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Counts by outcome since the last round of metrics, and the budget for log lines.
+#[derive(Debug)]
+pub(crate) struct Tally<O> {
+    counts: HashMap<O, u64>,
+    due: Instant,
+    metrics: Metrics,
+    budget: Budget,
+    /// For lines about what the process believes; they need no budget.
+    pub(crate) log: Logger,
+}
+
+impl<O: Eq + Hash + Display> Tally<O> {
+    pub(crate) fn new(telemetry: &Telemetry, now: Instant) -> Self {
+        Self {
+            counts: HashMap::new(),
+            due: now + INTERVAL,
+            metrics: telemetry.metrics.clone(),
+            budget: Budget::new(telemetry.flow_lines, now),
+            log: telemetry.log.clone(),
+        }
+    }
+
+    pub(crate) fn count(&mut self, outcome: O) {
+        *self.counts.entry(outcome).or_default() += 1;
+    }
+
+    /// Log for a line about one flow, unless there were too many lately.
+    pub(crate) fn line(&mut self, rank: Rank, now: Instant) -> Option<&Logger> {
+        self.budget.take(rank, now).then_some(&self.log)
+    }
+
+    pub(crate) fn time(&self, name: &str, time: Duration) {
+        let sent = self.metrics.time(name, time);
+        self.check(sent);
+    }
+
+    /// Sends what was counted, once a second; `gauges` are read only then.
+    pub(crate) fn send<const N: usize>(
+        &mut self,
+        now: Instant,
+        gauges: impl FnOnce() -> [(&'static str, u64); N],
+    ) {
+        if now < self.due {
+            return;
+        }
+        self.due = now + INTERVAL;
+        let omitted = self.budget.omitted();
+        if omitted > 0 {
+            warn!(self.log, "lines about flows left out"; "count" => omitted);
+        }
+        for (outcome, count) in std::mem::take(&mut self.counts) {
+            let sent = self.metrics.count(&outcome.to_string(), count);
+            self.check(sent);
+        }
+        for (name, value) in gauges() {
+            let sent = self.metrics.gauge(name, value);
+            self.check(sent);
+        }
+    }
+
+    /// Metrics are best effort: one that is lost fails nothing else.
+    fn check<T>(&self, sent: cadence::MetricResult<T>) {
+        if let Err(error) = sent {
+            debug!(self.log, "metric lost"; "error" => %error);
+        }
+    }
+}
--- a/crates/opaque/tests/reports.rs
+++ b/crates/opaque/tests/reports.rs
@@ -65,7 +65,7 @@
     let (mut reports, now) = (reports(), Instant::now());
     reports.take(now, report(10, 1)).unwrap();
     assert_eq!(reports.take(now, draining(10, 7)), Ok(Reported::Changed));
-    assert_eq!(reports.take(now, report(10, 6)), Ok(Reported::Same));
+    assert_eq!(reports.take(now, report(10, 6)), Ok(Reported::Late));
     assert!(!reports.current(now).unwrap().accepts);
     // A late report is no sign of life either.
     reports.take(now + SILENCE / 2, report(10, 6)).unwrap();
@@ -80,7 +80,7 @@
     reports.take(now, report(10, 8)).unwrap();
     assert_eq!(reports.take(now, report(20, 1)), Ok(Reported::Changed));
     assert_eq!(reports.current(now).unwrap().incarnation, 2);
-    assert_eq!(reports.take(now, draining(10, 9)), Ok(Reported::Same));
+    assert_eq!(reports.take(now, draining(10, 9)), Ok(Reported::Late));
     assert_eq!(reports.current(now).unwrap().incarnation, 2);
     // The same id may start again.
     let again = BackendReport {
@@ -96,7 +96,7 @@
 fn a_start_that_looks_earlier_is_taken_after_silence() {
     let (mut reports, now) = (reports(), Instant::now());
     reports.take(now, report(20, 8)).unwrap();
-    assert_eq!(reports.take(now, report(10, 1)), Ok(Reported::Same));
+    assert_eq!(reports.take(now, report(10, 1)), Ok(Reported::Late));
     reports.take(now + SILENCE, report(10, 2)).unwrap();
     assert_eq!(reports.current(now + SILENCE).unwrap().incarnation, 2);
 }
@@ -133,7 +133,7 @@
     let (mut reports, now) = (reports(), Instant::now());
     reports.take(now, report(10, 1)).unwrap();
     reports.take(now, report(20, 1)).unwrap();
-    assert_eq!(reports.left("i-10"), Reported::Same);
+    assert_eq!(reports.left("i-10"), Reported::Late);
     assert!(reports.current(now).is_some());
     assert_eq!(reports.left("i-20"), Reported::Changed);
     assert_eq!(reports.current(now), None);
--- a/crates/watcher/tests/peers.rs
+++ b/crates/watcher/tests/peers.rs
@@ -1,7 +1,5 @@
 //! Which replica a node asks next.
 
-#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
 start() { # name, program and its options
     local name=$1
     shift
-    "$@" 2>"$folder/$name.log" </dev/null >"$folder/$name.out" &
+    "$@" >"$folder/$name.log" 2>&1 </dev/null &
     pid[$name]=$!
 }
 
--- a/scripts/experiments.sh
+++ b/scripts/experiments.sh
@@ -35,7 +35,7 @@
     local program name
     while read -r program name; do
         [ "$program" = "$1" ] || continue
-        "$bin/$program" --settings "$folder/$name.jsonc" 2>"$folder/$name.log" </dev/null >/dev/null &
+        "$bin/$program" --settings "$folder/$name.jsonc" >"$folder/$name.log" 2>&1 </dev/null &
         pids+=($!)
     done <"$folder/processes"
 }
--- a/scripts/packets.sh
+++ b/scripts/packets.sh
@@ -27,10 +27,10 @@
 { "profiles": [{ "name": "echo" }],
   "services": [{ "name": "echo", "tenant": "bench", "profile": "echo", "address": "10.9.0.1:80" }] }
 JSON
-"$bin/control" --settings "$folder/control.jsonc" 2>"$folder/control.log" & pids+=($!)
+"$bin/control" --settings "$folder/control.jsonc" >"$folder/control.log" 2>&1 & pids+=($!)
 for try in $(seq 100); do grep -q '"msg":"ready"' "$folder/control.log" && break; sleep 0.05; done
 "$bin/jacinthsill" --control "$control" --author bench apply "$folder/declarations" >/dev/null
-"$bin/balancer" --settings "$folder/balancer.jsonc" 2>"$folder/balancer.log" & balancer=$!
+"$bin/balancer" --settings "$folder/balancer.jsonc" >"$folder/balancer.log" 2>&1 & balancer=$!
 pids+=("$balancer")
 ticks() { awk '{ print $14, $15 }' "/proc/$balancer/stat"; }
 hertz=$(getconf CLK_TCK)
--- a/scripts/subscribers.sh
+++ b/scripts/subscribers.sh
@@ -22,7 +22,7 @@
 memory() { awk '/VmRSS/ { print $2 }' "/proc/$pid/status"; }
 hertz=$(getconf CLK_TCK)
 for nodes in 10 100 1000 3000; do
-    "$bin/control" --settings "$folder/control.jsonc" 2>"$folder/log" &
+    "$bin/control" --settings "$folder/control.jsonc" >"$folder/log" 2>&1 &
     pid=$!
     for try in $(seq 100); do grep -q '"msg":"ready"' "$folder/log" && break; sleep 0.05; done
     before=$(ticks)
--- a/tests/e2e/src/process.rs
+++ b/tests/e2e/src/process.rs
@@ -57,12 +57,13 @@
         std::fs::write(&file, settings.to_string()).expect("the folder is writable");
         let log = folder.join(format!("{name}-{}.log", now_ns()));
         let output = File::create(&log).expect("the folder is writable");
+        let errors = output.try_clone().expect("another handle of the file");
         let child = Command::new(programs().join(program))
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(output)
+            .stdout(output)
+            .stderr(errors)
             .spawn()
             .unwrap_or_else(|e| panic!("{program} can't be started: {e}"));
         Self {
