Show what is known to be committed before a leader is elected

The election took up to 0.57 s (two candidates took each other's votes, the next try waited a whole election timeout), a replica applied nothing of its log before a leader was known, and a round of first questions waited 300 ms for replicas that were still dark.

Change: each log record carries the index known to be committed when it was written; a replica applies up to it at its start, and answers nodes that know less, marked as not current, so that balancers refuse nothing by it. A candidate whose vote is denied asks for pre-votes within a heartbeat. First questions are repeated per replica. Messages of elections are logged. Ruled out: slow starts (control takes 5 ms from its first line until it is ready).

Tests: replica (each replica alone applies all but the last entry), control (a replica alone answers a node, but no operator), replication (denied candidate; bounds of the committed index). They fail on the code before: it has neither the index nor the early pre-vote.

--- a/bin/control/src/http/process.rs
+++ b/bin/control/src/http/process.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use api::{BurnBatch, BurnReply, Heartbeat, Watch, path};
+use api::{BurnBatch, BurnReply, Heartbeat, Watch, WatchReply, path};
 use dropshot::{RequestContext, UntypedBody, endpoint};
 use http::StatusCode;
 use membership::{Action, Event, Refused};
@@ -61,14 +61,15 @@
     loop {
         changes.borrow_and_update();
         let newer = node.state().newer(message);
-        if let Some(reply) = newer {
-            return request.reply(&node.key, &reply);
-        }
         let replica = match node.replica() {
             Ok(replica) => replica,
             Err(e) => return unconfirmed(&e),
         };
-        if node.is_stopping() || !is_current(&replica.status()) {
+        let current = is_current(&replica.status());
+        if let Some(reply) = newer {
+            return request.reply(&node.key, &WatchReply { current, ..reply });
+        }
+        if node.is_stopping() || !current {
             return behind();
         }
         if !matches!(timeout_at(deadline, changes.changed()).await, Ok(Ok(()))) {
@@ -79,7 +80,8 @@
             let state = node.state();
             let reply = state.newer(message);
             let reply = reply.unwrap_or_else(|| state.unchanged(message));
-            return request.reply(&node.key, &reply);
+            let current = true;
+            return request.reply(&node.key, &WatchReply { current, ..reply });
         }
     }
 }
--- a/bin/control/tests/all/group.rs
+++ b/bin/control/tests/all/group.rs
@@ -236,3 +236,56 @@
         assert_eq!(operator.status(path::DECLARATIONS).await, 503);
     });
 }
+
+/// Guards against nodes that have nothing to go by after everything stopped, until a leader is
+/// elected: a replica that is alone shows what it knows to be committed, and says that it may be
+/// behind.
+#[test]
+fn a_replica_alone_shows_what_was_committed() {
+    let mut group = Group::start(program(), 3);
+    block_on(async {
+        let leader = leader(&group, &[0, 1, 2]).await;
+        let mut operator = Operator::new(&group, leader);
+        for version in 0..3 {
+            assert_eq!(operator.put(version, profile(version + 1)).await.0, 200);
+        }
+        let reply = ask(&group, leader).await.unwrap();
+        assert!(reply.current, "a leader is current");
+        for index in 0..3 {
+            group.kill(index);
+        }
+        group.run(1);
+        let reply = ask(&group, 1).await.unwrap();
+        assert!(!reply.current);
+        // The last entries may have been committed without the replica's knowledge.
+        assert!(
+            (Version(1)..=Version(3)).contains(&reply.config),
+            "{reply:?}"
+        );
+        assert!(!ask_again(&group, 1, &reply).await, "it may be behind");
+        assert_eq!(
+            Operator::new(&group, 1).status(path::DECLARATIONS).await,
+            503,
+            "only a quorum answers operators"
+        );
+    });
+}
+
+async fn ask(group: &Group, index: usize) -> Result<WatchReply, RpcError> {
+    let peer = group.addresses[index];
+    group
+        .client()
+        .post(peer, path::WATCH, &poll(0, 0), LIMIT)
+        .await
+}
+
+/// Whether a replica answers a node that knows as much as the replica.
+async fn ask_again(group: &Group, index: usize, reply: &WatchReply) -> bool {
+    let poll = api::Watch {
+        index: reply.index,
+        ..poll(reply.config.0, 0)
+    };
+    let peer = group.addresses[index];
+    let answer: Result<WatchReply, _> = group.client().post(peer, path::WATCH, &poll, LIMIT).await;
+    answer.is_ok()
+}
--- a/bin/control/tests/all/harness.rs
+++ b/bin/control/tests/all/harness.rs
@@ -66,6 +66,11 @@
         self.try_run_all().unwrap();
     }
 
+    /// Starts one replica.
+    pub fn run(&mut self, index: usize) {
+        self.spawn(index).recv_timeout(LIMIT).unwrap();
+    }
+
     fn try_run_all(&mut self) -> Result<(), String> {
         let stopped = (0..self.running.len()).filter(|index| self.running[*index].is_none());
         let stopped: Vec<_> = stopped.collect();
@@ -90,8 +95,17 @@
             .arg(self.settings(index))
             .current_dir(self.dir.path())
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        // A start that fails says why on standard error.
+        let errors = BufReader::new(child.stderr.take().unwrap()).lines();
+        let kept = Arc::clone(&self.lines[index]);
+        thread::spawn(move || {
+            for line in errors.map_while(Result::ok) {
+                kept.lock().unwrap().push(line);
+            }
+        });
         let (sender, ready) = mpsc::channel();
         let lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let kept = Arc::clone(&self.lines[index]);
--- a/crates/api/src/watch.rs
+++ b/crates/api/src/watch.rs
@@ -181,4 +181,7 @@
     pub index: u64,
     /// Everything of the scope: the node forgets services and routes that are not in it.
     pub whole: bool,
+    /// The replica leads or heard of the leader lately. Others only answer nodes that know less.
+    #[serde(default)]
+    pub current: bool,
 }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use replication::{Action, Change, Command, Event, Kind, Message, Payload, RoleName, State, Write};
+use replication::{
+    Action, Body, Change, Command, Event, Kind, Message, Payload, RoleName, State, Write,
+};
 use slog::{Logger, crit, info, warn};
 use storage::Store;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -26,6 +28,21 @@
 /// dropped, the protocol repeats them.
 const HELD: usize = 4096;
 
+/// Name of a message that decides who leads.
+fn election(body: &Body) -> Option<&'static str> {
+    match body {
+        Body::PreVote { .. } => Some("asked whether it would vote"),
+        Body::PreVoteReply { granted: true } => Some("a vote would be given"),
+        Body::PreVoteReply { granted: false } => Some("a vote would be denied"),
+        Body::Vote { .. } => Some("asked for its vote"),
+        Body::VoteReply { granted: true } => Some("vote received"),
+        Body::VoteReply { granted: false } => Some("vote denied"),
+        Body::TakeOver => Some("asked to take over"),
+        Body::Removed { .. } => Some("told of its removal"),
+        _ => None,
+    }
+}
+
 /// Task of a replica.
 pub(crate) struct Core {
     pub(crate) settings: ReplicaSettings,
@@ -101,6 +118,7 @@
 impl Core {
     /// Runs until the replica is stopped, or removed by its group.
     pub(crate) async fn run(mut self) -> Option<Removed> {
+        self.apply(self.state.commit());
         self.update();
         while self.progress.stop.is_none() && !self.progress.is_broken {
             if self.progress.is_removed {
@@ -240,10 +258,17 @@
                     .contacts
                     .insert(from.id, (from.address, now()));
                 for message in messages {
+                    let election = election(&message.body);
+                    let term = message.term;
                     self.handle(Event::Message {
                         from: from.id,
                         message,
                     });
+                    if let Some(what) = election {
+                        let vote = self.state.vote();
+                        info!(self.log, "{what}"; "from" => from.id.0, "its_term" => term,
+                            "term" => vote.term, "voted" => vote.voted.map(|id| id.0));
+                    }
                 }
             }
             (Wire::Probe, Some(reply)) => {
@@ -295,7 +320,8 @@
                     let task = Task::Restore(std::sync::Arc::clone(snapshot));
                     self.progress.is_broken |= !self.worker.send(task);
                 }
-                self.progress.is_broken |= !self.disk.send(Job::Write { seq, write });
+                let commit = self.state.commit();
+                self.progress.is_broken |= !self.disk.send(Job::Write { seq, write, commit });
             }
             Action::Send { to, message, after } if after > self.progress.synced => {
                 if self.progress.held.len() < HELD {
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -25,6 +25,8 @@
         seq: u64,
         /// Write.
         write: Write,
+        /// Last index known to be committed.
+        commit: u64,
     },
     /// Snapshot of the own state.
     Snapshot {
@@ -96,8 +98,8 @@
             let mut last = None;
             for job in jobs {
                 match job {
-                    Job::Write { seq, write } => {
-                        if !self.persist(|w| w.stage(&write)) {
+                    Job::Write { seq, write, commit } => {
+                        if !self.persist(|w| w.stage(&write, commit)) {
                             return;
                         }
                         last = Some(seq);
@@ -139,10 +141,13 @@
         }
     }
 
-    fn stage(&mut self, write: &Write) -> Result<(), StorageError> {
+    fn stage(&mut self, write: &Write, commit: u64) -> Result<(), StorageError> {
         match write {
             Write::Vote(vote) => self.store.save(identity(self.id, *vote)),
-            Write::Append(entries) => entries.iter().try_for_each(|e| stage(&mut self.store, e)),
+            Write::Append(entries) => {
+                let store = &mut self.store;
+                entries.iter().try_for_each(|e| stage(store, e, commit))
+            }
             Write::Install(snapshot) => self.store.install(&to_file(snapshot)?),
         }
     }
@@ -177,10 +182,21 @@
     }
 }
 
-/// Stages an entry.
-pub(crate) fn stage(store: &mut Store, entry: &Entry) -> Result<(), StorageError> {
+/// Stages an entry, with the last index known to be committed: what a replica can show after a
+/// start before it knows of a leader.
+pub(crate) fn stage(store: &mut Store, entry: &Entry, commit: u64) -> Result<(), StorageError> {
     let (kind, payload) = entry.payload.to_record().map_err(invalid)?;
-    store.append((kind, entry.term, entry.index), &payload.0)
+    let payload = [&payload.0[..], &commit.to_be_bytes()].concat();
+    store.append((kind, entry.term, entry.index), &payload)
+}
+
+/// The payload of a record, and the index that was known to be committed.
+fn split(record: &storage::Record) -> Result<(Vec<u8>, u64), StorageError> {
+    let Some((payload, commit)) = record.payload.split_last_chunk() else {
+        let message = format!("record {} has no committed index", record.index).into();
+        return Err(StorageError::Content { message });
+    };
+    Ok((payload.to_vec(), u64::from_be_bytes(*commit)))
 }
 
 fn to_file(snapshot: &Snapshot) -> Result<storage::Snapshot, StorageError> {
@@ -221,8 +237,11 @@
         }
         None => None,
     };
+    let mut commit = 0;
     let entry = |r: storage::Record| {
-        let payload = Payload::from_record(r.kind, r.payload).map_err(invalid)?;
+        let (payload, known) = split(&r)?;
+        commit = known.max(commit);
+        let payload = Payload::from_record(r.kind, payload).map_err(invalid)?;
         Ok(Entry {
             term: r.term,
             index: r.index,
@@ -240,6 +259,7 @@
             vote,
             snapshot,
             entries,
+            commit,
         },
     )))
 }
--- a/crates/replica/src/form.rs
+++ b/crates/replica/src/form.rs
@@ -140,8 +140,8 @@
         };
         Restored {
             vote,
-            snapshot: None,
             entries,
+            ..Restored::default()
         }
     }
 
@@ -163,7 +163,7 @@
         first
             .entries
             .iter()
-            .try_for_each(|e| stage(self.store, e))?;
+            .try_for_each(|e| stage(self.store, e, 0))?;
         self.store.sync()?;
         info!(self.log, "formed a new group"; "replicas" => self.peers.len());
         Ok((id, first))
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -40,6 +40,30 @@
     assert!((0..3).all(|n| group.status(n).id == ReplicaId(n as u64 + 1)));
 }
 
+/// Guards against a replica that knows nothing after a start until a leader is elected, and against
+/// one that applies entries which may not be committed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_alone_applies_what_was_committed() {
+    let mut group = Group::three(settings()).await;
+    let known = group.commit_all("before", 10).await;
+    group.check(&known).await;
+    let committed = group.nodes[0].entries.lock().expect("entries").clone();
+    for n in 0..3 {
+        group.kill(n);
+    }
+    for n in 0..3 {
+        group.start(n).await;
+        // Each entry was stored with the commit of those before it.
+        let applied = |g: &Group| g.nodes[n].entries.lock().expect("entries").clone();
+        group
+            .until("applied entries", |g| applied(g).len() + 1 >= known.len())
+            .await;
+        let applied = applied(&group);
+        assert!(applied.iter().all(|(i, e)| committed.get(i) == Some(e)));
+        group.kill(n);
+    }
+}
+
 /// Guards against a replica that votes under its old id after it lost its disk,
 /// and against commits that depend on a replica that has not caught up, when
 /// a second one is lost right after the repair.
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -182,6 +182,10 @@
             return;
         };
         if !granted {
+            // Another candidate may have the vote. It is asked again soon, in a pre-vote, which is
+            // denied if that one leads; a whole election timeout would be lost if nobody does.
+            self.follow(now, self.vote.term, None, out);
+            self.election_at = now + self.pre_vote_wait();
             return;
         }
         votes.insert(from);
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -68,4 +68,6 @@
     /// Entries with consecutive indexes; the first is 1 or follows an entry
     /// that the snapshot covers.
     pub entries: Vec<Entry>,
+    /// Index up to which entries are known to be committed; more may be.
+    pub commit: u64,
 }
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -93,6 +93,7 @@
             vote,
             snapshot,
             entries,
+            commit,
         } = restored;
         let (index, term) = snapshot.as_ref().map_or((0, 0), |s| (s.index, s.term));
         let first = entries.first().map_or(index + 1, |e| e.index);
@@ -129,7 +130,7 @@
             leader: None,
             contact: None,
             election_at: now,
-            commit: index,
+            commit: commit.min(stored).max(index),
             stored,
             writes: VecDeque::new(),
             seq: 0,
@@ -159,6 +160,12 @@
         }
     }
 
+    /// Term, and who got the vote in it.
+    #[must_use]
+    pub fn vote(&self) -> Vote {
+        self.vote
+    }
+
     /// When the next [`Event::Tick`] is due.
     #[must_use]
     pub fn deadline(&self) -> Instant {
--- a/crates/replication/tests/cluster/mod.rs
+++ b/crates/replication/tests/cluster/mod.rs
@@ -113,8 +113,8 @@
                 id(n),
                 Restored {
                     vote,
-                    snapshot: None,
                     entries,
+                    ..Restored::default()
                 },
             );
         }
@@ -367,10 +367,12 @@
         vote,
         snapshot,
         entries,
+        commit,
     } = disk;
     Restored {
         vote: *vote,
         snapshot: snapshot.clone(),
         entries: entries.clone(),
+        commit: *commit,
     }
 }
--- a/crates/replication/tests/follower.rs
+++ b/crates/replication/tests/follower.rs
@@ -40,8 +40,8 @@
     };
     let restored = Restored {
         vote,
-        snapshot: None,
         entries,
+        ..Restored::default()
     };
     State::new(Settings::default(), restored, StdRng::seed_from_u64(1), now)
 }
--- a/crates/replication/tests/leader.rs
+++ b/crates/replication/tests/leader.rs
@@ -9,11 +9,16 @@
 
 const SECOND: ReplicaId = ReplicaId(2);
 
+/// Three voters.
+fn three() -> Config {
+    let address = ([10, 0, 0, 1], 7).into();
+    Config::new((1..=3).map(|n| (ReplicaId(n), address)))
+}
+
 /// Replica 1 of three as leader of term 4, with an entry of term 2 at index 2
 /// and its own first entry at index 3.
 fn leader(now: Instant) -> State {
-    let address = ([10, 0, 0, 1], 7).into();
-    let config = Config::new((1..=3).map(|n| (ReplicaId(n), address)));
+    let config = three();
     let entries = vec![
         Entry {
             term: 1,
@@ -32,8 +37,8 @@
     };
     let restored = Restored {
         vote,
-        snapshot: None,
         entries,
+        ..Restored::default()
     };
     let rng = StdRng::seed_from_u64(1);
     let mut state = State::new(Settings::default(), restored, rng, now);
@@ -171,3 +176,59 @@
     assert!(!ask(ReplicaId(3), 11, 9, 9), "second vote in a term");
     assert!(ask(SECOND, 11, 3, 4), "repeated request");
 }
+
+/// Guards against a group without a leader for a whole election timeout after two candidates took
+/// each other's votes away.
+#[test]
+fn a_denied_candidate_asks_again_soon() {
+    let now = Instant::now();
+    let (settings, beat) = (Settings::default(), Settings::default().heartbeat);
+    let entries = vec![Entry {
+        term: 1,
+        index: 1,
+        payload: Payload::Config(three()),
+    }];
+    let vote = Vote {
+        term: 3,
+        voted: None,
+    };
+    let restored = Restored {
+        vote,
+        entries,
+        ..Restored::default()
+    };
+    let mut state = State::new(settings, restored, StdRng::seed_from_u64(1), now);
+    let due = state.deadline();
+    state.handle(due, Event::Tick, &mut Vec::new());
+    answer(&mut state, due, Body::PreVoteReply { granted: true });
+    assert_eq!((state.role(), state.term()), (RoleName::Candidate, 4));
+    answer(&mut state, due, Body::VoteReply { granted: false });
+    assert_eq!(state.role(), RoleName::Follower);
+    assert!(state.deadline() <= due + beat);
+    let mut out = Vec::new();
+    state.handle(state.deadline(), Event::Tick, &mut out);
+    let asks = |a: &Action| matches!(a, Action::Send { message, .. } if matches!(message.body, Body::PreVote { .. }));
+    assert!(out.iter().any(asks), "{out:?}");
+    assert_eq!(state.term(), 4, "asking costs no term");
+}
+
+/// Guards against a replica that takes entries for committed which its log does not hold, and
+/// against one that forgets what its snapshot covers.
+#[test]
+fn the_committed_index_of_the_files_is_bounded_by_them() {
+    for (known, expected) in [(0, 0), (1, 1), (2, 2), (9, 2)] {
+        let entries = (1..=2).map(|index| Entry {
+            term: 1,
+            index,
+            payload: Payload::Empty,
+        });
+        let restored = Restored {
+            entries: entries.collect(),
+            commit: known,
+            ..Restored::default()
+        };
+        let rng = StdRng::seed_from_u64(1);
+        let state = State::new(Settings::default(), restored, rng, Instant::now());
+        assert_eq!(state.commit(), expected, "known {known}");
+    }
+}
--- a/crates/startup/src/telemetry.rs
+++ b/crates/startup/src/telemetry.rs
@@ -1,6 +1,6 @@
 //! Logs and metrics together.
 
-use slog::Logger;
+use slog::{Logger, info};
 
 use crate::{LogFlush, LogSettings, Metrics, MetricsError, MetricsSettings};
 
@@ -28,6 +28,7 @@
         node: &str,
     ) -> Result<Self, MetricsError> {
         let (logger, flush) = crate::logs::logger(log, program, node);
+        info!(logger, "starting"; "version" => env!("CARGO_PKG_VERSION"));
         Ok(Self {
             metrics: crate::metrics::metrics(metrics, program, &logger)?,
             log: logger,
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use units::Millis;
 
 use crate::peers::Peers;
@@ -29,7 +29,13 @@
 const FIRST_LIMIT: Duration = Duration::from_millis(600);
 
 /// Time between the first questions to two replicas.
-const APART: Duration = Duration::from_millis(60);
+const APART: Duration = Duration::from_millis(20);
+
+/// Time between two first questions to one replica.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// Time after which the list of replicas is looked at again; changed settings may name others.
+const LIST_AGE: Duration = Duration::from_secs(2);
 
 /// Shortest time between two polls. Changes that come faster share an answer, so that a burst of them
 /// stays below 3 KB/s per node.
@@ -81,7 +87,9 @@
                     continue;
                 }
                 index = reply.index;
-                heard.send_replace(Some(Instant::now()));
+                if reply.current {
+                    heard.send_replace(Some(Instant::now()));
+                }
                 if let Some(next) = view.updated(&reply, Instant::now()) {
                     out.send_replace(Arc::new(next));
                     if std::mem::take(&mut first) {
@@ -104,8 +112,8 @@
     }
 }
 
-/// Asks all replicas, a little apart, until one answers: a process without a view is of no use, and
-/// some replicas may be down or start as well.
+/// Asks each replica again and again until one answers: a process without a view is of no use, and
+/// a replica that is down must not delay the question to one that starts.
 async fn first_answer(peers: &Peers, client: &Client, message: &Watch) -> (SocketAddr, WatchReply) {
     loop {
         let mut calls = JoinSet::new();
@@ -113,20 +121,37 @@
             let (client, message) = (client.clone(), message.clone());
             calls.spawn(async move {
                 sleep(APART * turn).await;
-                let message = Watch {
-                    wait_ms: Millis(0),
-                    ..message
-                };
-                let answer = client.post(peer, path::WATCH, &message, FIRST_LIMIT).await;
-                answer.ok().map(|reply: WatchReply| (peer, reply))
+                ask_until_answered(&client, peer, message).await
             });
         }
-        while let Some(answer) = calls.join_next().await {
-            if let Ok(Some(answer)) = answer {
-                return answer;
+        // Without replicas there is nothing to wait for but another list.
+        let first = async {
+            match calls.join_next().await {
+                Some(answer) => answer,
+                None => std::future::pending().await,
             }
+        };
+        if let Ok(Ok(answer)) = timeout(LIST_AGE, first).await {
+            return answer;
+        }
+    }
+}
+
+async fn ask_until_answered(
+    client: &Client,
+    peer: SocketAddr,
+    message: Watch,
+) -> (SocketAddr, WatchReply) {
+    let message = Watch {
+        wait_ms: Millis(0),
+        ..message
+    };
+    loop {
+        match client.post(peer, path::WATCH, &message, FIRST_LIMIT).await {
+            Ok(reply) => return (peer, reply),
+            // Down, starting, or without anything to show.
+            Err(_) => sleep(AGAIN).await,
         }
-        sleep(Duration::from_millis(BACKOFF.start)).await;
     }
 }
 
