Let SYNs wait at the agent and admit the newest of the most urgent

Change: an agent gives its backend server at most two requests a slot. A SYN that finds no place anywhere waits at the lightest agent, which tells the balancer and tells the siblings a load that includes it. When a place is free, the most urgent route's newest SYN gets it. A SYN waits at most twice the latency that its route wants (1 s at most), then its caller gets a reset; the list is bounded. If the backend server drains or goes, the SYNs go on to other agents. The balancer sends the route's priority and wanted latency in the header (version 3).

Tests: forwarding::waiting (8); the simulation plays a rush in which each caller is served or told, with agents, balancers and backend servers that restart or drain, and its callers ignore resets that don't fit, as real ones do.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -194,7 +194,9 @@
                 .chain(candidates.iter().copied())
                 .collect();
         }
-        let header = self.header(service, steering.current().epoch, candidates);
+        let mut header = self.header(service, steering.current().epoch, candidates);
+        header.hints.priority = route.priority;
+        header.hints.wanted_ms = u16::try_from(route.latency_ms.0).unwrap_or(u16::MAX);
         if self.openings.len() < self.settings.openings {
             let opening = Opening {
                 header,
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -59,11 +59,13 @@
     Tick,
 }
 
-/// What to do. One of the first six concerns the packet of the event.
+/// What to do. One of the first seven concerns the packet of the event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// Give the packet to the backend server.
     Deliver(Reason),
+    /// Keep the SYN until the backend server has a place for it.
+    Hold,
     /// Send the packet with this header to the candidate at its hop.
     Forward(Header, Reason),
     /// Send the packet of the backend server to the caller.
@@ -88,6 +90,15 @@
         /// Flow.
         flow: Flow,
     },
+    /// Give a SYN that waited to the backend server.
+    Admit {
+        /// Flow.
+        flow: Flow,
+        /// Packet.
+        inner: Box<[u8]>,
+        /// Time for which it waited.
+        waited: Duration,
+    },
     /// Tell a balancer or an agent that these flows are owned here, and the load.
     Notify {
         /// Receiver.
@@ -139,6 +150,8 @@
     NotHeld,
     /// The backend server started anew.
     Restarted,
+    /// The backend server had no place for the SYN in time.
+    Overloaded,
 }
 
 /// Reason for dropping a packet; the name is the metric's name.
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -13,6 +13,7 @@
 use crate::balance::Siblings;
 use crate::held::{Busy, Held};
 use crate::pending::{Offers, Waiting};
+use crate::waitlist::Waitlist;
 use crate::{Action, Backend, Event, ForwardSettings, Reason, Timing};
 
 /// Service of this agent.
@@ -54,6 +55,8 @@
     pub(crate) redirects: Owners<Candidate>,
     pub(crate) offers: Offers,
     pub(crate) waiting: Waiting,
+    /// SYNs for which the backend server has no place yet.
+    pub(crate) waitlist: Waitlist,
     /// Slots kept for requests, in the order in which they are given back.
     pub(crate) reserved: Waiting,
     /// Registrations to repeat, by time.
@@ -83,6 +86,7 @@
             redirects: Owners::new(settings.redirects, settings.redirect_ttl),
             offers: Offers::new(settings.returned),
             waiting: Waiting::new(),
+            waitlist: Waitlist::default(),
             reserved: Waiting::new(),
             repeats: BTreeSet::new(),
             times: Vec::new(),
@@ -122,6 +126,7 @@
             Event::Backend(backend) => self.change_backend(now, backend, out),
             Event::Tick => self.tick(now, out),
         }
+        self.admit(now, out);
     }
 
     /// When the next [`Event::Tick`] is due.
@@ -130,8 +135,9 @@
         let waiting = self.waiting.front().map(|(at, _)| *at);
         let reserved = self.reserved.front().map(|(at, _)| *at);
         let repeat = self.repeats.first().map(|(at, _)| *at);
+        let given_up = self.waitlist.deadline();
         let periodic = self.load_at.min(self.sweep_at);
-        [waiting, reserved, repeat]
+        [waiting, reserved, repeat, given_up]
             .into_iter()
             .flatten()
             .fold(periodic, Instant::min)
@@ -141,8 +147,9 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let slots = self.backend.map_or(0, |backend| backend.slots);
+        let waiting = u16::try_from(self.waitlist.len()).unwrap_or(u16::MAX);
         Load {
-            busy: self.busy,
+            busy: self.busy.saturating_add(waiting),
             slots: if self.accepts() { slots } else { 0 },
             open: self.open,
         }
@@ -165,6 +172,12 @@
         self.held.len()
     }
 
+    /// SYNs that wait for a place at the backend server.
+    #[must_use]
+    pub fn waits(&self) -> usize {
+        self.waitlist.len()
+    }
+
     /// Redirects known.
     #[must_use]
     pub fn redirects(&self) -> usize {
@@ -214,6 +227,9 @@
         self.silent = None;
         let before = self.backend.map(|backend| backend.incarnation);
         self.backend = backend;
+        if backend.is_none_or(|backend| !backend.accepts) {
+            self.turn_away(now, out);
+        }
         let Some(backend) = backend else { return };
         if before.is_some_and(|before| before != backend.incarnation) {
             self.reset_all(now, out);
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -15,7 +15,8 @@
 //!
 //! A SYN visits candidates until one accepts: the first whose backend server
 //! has a free slot and no more open flows than its siblings. If none has, the
-//! lightest one visited gets it.
+//! lightest one visited gets it, and keeps it while its backend server has as
+//! many requests as it can serve soon.
 
 mod balance;
 mod event;
@@ -28,6 +29,7 @@
 mod placing;
 mod settings;
 mod sweep;
+mod waitlist;
 
 pub use event::{Action, Backend, DropReason, Event, Reason, Timing};
 pub use forwarder::Forwarder;
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -1,5 +1,7 @@
 //! Placement of SYNs.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 use units::Flow;
 use wire::{Candidate, Candidates, Flags, Header, Segment};
@@ -7,6 +9,7 @@
 use crate::forwarder::Other;
 use crate::held::Busy;
 use crate::pending::Pending;
+use crate::waitlist::Waiting;
 use crate::{Action, DropReason, Forwarder, Reason};
 
 /// The SYN has visited every candidate: the one addressed accepts if it can at all.
@@ -15,6 +18,15 @@
     accept: true,
 };
 
+/// Reset for a flow whose SYN found no place in time.
+pub(crate) fn overloaded(flow: Flow) -> Action {
+    Action::Reset {
+        flow,
+        seq: 0,
+        reason: Reason::Overloaded,
+    }
+}
+
 /// Where a SYN goes.
 #[expect(
     clippy::large_enum_variant,
@@ -22,6 +34,8 @@
 )]
 enum Place {
     Here(Reason),
+    /// Here, once there is a place.
+    Wait,
     There(Header, Reason),
     Nowhere,
 }
@@ -36,12 +50,16 @@
         out: &mut Vec<Action>,
     ) {
         let flow = segment.flow;
+        if self.waitlist.contains(&flow) {
+            return out.push(Action::Hold);
+        }
         self.redirects.remove(&flow);
         match self.place(now, &flow, header) {
             Place::Here(reason) => {
-                self.accept(now, header, segment, inner);
+                self.accept(now, header, &flow, inner);
                 out.push(Action::Deliver(reason));
             }
+            Place::Wait => self.wait(now, header, flow, inner, out),
             Place::There(header, reason) => out.push(Action::Forward(header, reason)),
             Place::Nowhere => out.push(self.refuse(now, flow)),
         }
@@ -59,8 +77,8 @@
         }
     }
 
-    fn accept(&mut self, now: Instant, header: &Header, segment: &Segment, inner: &[u8]) {
-        let flow = segment.flow;
+    fn accept(&mut self, now: Instant, header: &Header, flow: &Flow, inner: &[u8]) {
+        let flow = *flow;
         self.release(&flow);
         let home = header.candidates.first().copied();
         let centre = home.and_then(|home| self.centre_of(home));
@@ -82,7 +100,7 @@
     fn place(&mut self, now: Instant, flow: &Flow, header: &Header) -> Place {
         if header.flags.accept {
             return if self.accepts() {
-                Place::Here(Reason::Lightest)
+                self.here()
             } else {
                 self.further(flow, header, Reason::NotAccepting)
             };
@@ -108,6 +126,100 @@
         Place::Here(Reason::FreeSlot)
     }
 
+    /// Whether the backend server has fewer requests than it can serve soon.
+    fn has_place(&self) -> bool {
+        let slots = self.backend.map_or(0, |backend| backend.slots);
+        self.busy < slots.saturating_mul(self.settings.depth)
+    }
+
+    fn here(&self) -> Place {
+        if self.has_place() {
+            Place::Here(Reason::Lightest)
+        } else {
+            Place::Wait
+        }
+    }
+
+    /// Keeps a SYN until there is a place, and tells the balancer, which would try another agent.
+    fn wait(
+        &mut self,
+        now: Instant,
+        header: &Header,
+        flow: Flow,
+        inner: &[u8],
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Hold);
+        self.waitlist.push(Waiting {
+            flow,
+            header: *header,
+            inner: inner.into(),
+            since: now,
+            due: now + self.patience(header),
+        });
+        if let Some(to) = header.hints.origin {
+            let flows = vec![flow];
+            out.push(Action::Notify { to, flows });
+        }
+        if self.waitlist.len() > self.settings.waiting
+            && let Some(first) = self.waitlist.pop_due()
+        {
+            out.push(overloaded(first.flow));
+        }
+    }
+
+    fn patience(&self, header: &Header) -> Duration {
+        let wanted = Duration::from_millis(header.hints.wanted_ms.into());
+        let most = self.settings.most_patience;
+        match wanted * self.settings.patience {
+            Duration::ZERO => most,
+            patience => patience.min(most),
+        }
+    }
+
+    /// Gives SYNs that wait to the backend server as far as it has places.
+    pub(crate) fn admit(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while self.accepts()
+            && self.has_place()
+            && let Some(waiting) = self.waitlist.pop()
+        {
+            let Waiting {
+                flow,
+                header,
+                inner,
+                since,
+                ..
+            } = waiting;
+            self.accept(now, &header, &flow, &inner);
+            let waited = now.saturating_duration_since(since);
+            out.push(Action::Admit {
+                flow,
+                inner,
+                waited,
+            });
+        }
+    }
+
+    /// Sends the SYNs that wait to other agents: the backend server takes no new flows.
+    pub(crate) fn turn_away(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some(waiting) = self.waitlist.pop_due() {
+            let Waiting {
+                flow,
+                header,
+                inner,
+                ..
+            } = waiting;
+            out.push(match self.extended(&flow, &header) {
+                Some(header) => Action::Resend {
+                    header,
+                    inner,
+                    flow,
+                },
+                None => self.refuse(now, flow),
+            });
+        }
+    }
+
     /// Header that leads to a sibling with fewer open flows.
     fn unbalanced(&mut self, now: Instant, header: &Header) -> Option<Header> {
         let service = self.service.as_ref()?;
@@ -147,7 +259,7 @@
     fn onward(&mut self, flow: &Flow, header: &Header, reason: Reason) -> Place {
         let lightest = header.hints.lightest;
         if !header.has_next() && lightest.is_some_and(|(hop, _)| hop == header.hop) {
-            return Place::Here(Reason::Lightest);
+            return self.here();
         }
         match self.onward_header(flow, header) {
             Some(header) => Place::There(header, reason),
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -32,6 +32,15 @@
     pub busy_limit: Duration,
     /// Time for which an accepted flow keeps a slot until its request arrives.
     pub request_wait: Duration,
+    /// Requests per slot that the backend server is given; further SYNs wait for a place.
+    pub depth: u16,
+    /// Longest wait of a SYN for a place, in times of the latency that its route wants; then its
+    /// caller gets a reset and may try again.
+    pub patience: u32,
+    /// Longest wait, whatever the route wants.
+    pub most_patience: Duration,
+    /// SYNs that may wait at the same time.
+    pub waiting: usize,
 }
 
 impl Default for ForwardSettings {
@@ -50,6 +59,10 @@
             load_fanout: 16,
             busy_limit: Duration::from_secs(2),
             request_wait: Duration::from_millis(100),
+            depth: 2,
+            patience: 2,
+            most_patience: Duration::from_secs(1),
+            waiting: 512,
         }
     }
 }
--- a/crates/forwarding/src/sweep.rs
+++ b/crates/forwarding/src/sweep.rs
@@ -6,6 +6,7 @@
 use units::Flow;
 
 use crate::held::Busy;
+use crate::placing::overloaded;
 use crate::{Action, Forwarder};
 
 /// Time between two looks for flows that are idle or ended.
@@ -15,6 +16,7 @@
     pub(crate) fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.unanswered(now, out);
         self.give_back(now);
+        self.give_up(now, out);
         self.repeat(now, out);
         if now >= self.load_at {
             self.load_at = now + self.settings.load_interval;
@@ -60,6 +62,16 @@
         }
     }
 
+    /// Resets flows whose SYN waited too long: it has not been given to the backend server.
+    fn give_up(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some(due) = self.waitlist.deadline()
+            && now >= due
+            && let Some(waiting) = self.waitlist.pop_due()
+        {
+            out.push(overloaded(waiting.flow));
+        }
+    }
+
     fn tell_load(&mut self, out: &mut Vec<Action>) {
         if self.service.is_none() {
             return;
--- a/crates/forwarding/tests/all/fleet/host.rs
+++ b/crates/forwarding/tests/all/fleet/host.rs
@@ -59,6 +59,11 @@
         open.is_some_and(|open| open.initial == initial)
     }
 
+    /// Whether it has taken a request of the flow.
+    pub fn began(&self, flow: &Flow) -> bool {
+        self.ended.contains_key(flow) || self.open.get(flow).is_some_and(|open| open.taken > 0)
+    }
+
     /// Flows that it holds, or whose last segment it may have to repeat, with its first numbers.
     pub fn flows(&self) -> impl Iterator<Item = (Flow, u32)> {
         let open = self.open.iter().map(|(flow, open)| (*flow, open.initial));
--- a/crates/forwarding/tests/all/main.rs
+++ b/crates/forwarding/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod lost;
 mod placement;
 mod siblings;
+mod waiting;
--- a/crates/opaque/src/agent/outcome.rs
+++ b/crates/opaque/src/agent/outcome.rs
@@ -10,6 +10,12 @@
     /// Given to the backend server.
     #[display("delivered.{_0}")]
     Delivered(Reason),
+    /// A SYN was kept until the backend server has a place.
+    #[display("held")]
+    Held,
+    /// A SYN that waited was given to the backend server.
+    #[display("admitted")]
+    Admitted,
     /// Sent to another agent.
     #[display("passed_on.{_0}")]
     PassedOn(Reason),
--- a/crates/opaque/src/agent/packets.rs
+++ b/crates/opaque/src/agent/packets.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use forwarding::{Action, Backend, DropReason, Event, Forwarder, Reason};
 use rpc::Key;
@@ -188,10 +189,13 @@
         self.forwarder
             .handle(Instant::now(), event, &mut buffers.actions);
         for action in std::mem::take(&mut buffers.actions) {
-            if let Action::Reset { flow, .. } | Action::Resend { flow, .. } = action {
-                self.act(action, &[], flow, &mut buffers.out);
-            } else if let Action::Notify { to, flows } = action {
-                self.notify(to.into(), flows, &mut buffers.out);
+            match action {
+                Action::Reset { flow, .. }
+                | Action::Resend { flow, .. }
+                | Action::Admit { flow, .. } => self.act(action, &[], flow, &mut buffers.out),
+                Action::Notify { to, flows } => self.notify(to.into(), flows, &mut buffers.out),
+                // The others concern a packet.
+                _ => {}
             }
         }
     }
@@ -202,6 +206,15 @@
                 self.delivered(flow, reason);
                 self.send(Side::Backend, packet, self.backend);
             }
+            Action::Hold => self.waits(flow),
+            Action::Admit {
+                flow,
+                inner,
+                waited,
+            } => {
+                self.admitted(flow, waited);
+                self.send(Side::Backend, &inner, self.backend);
+            }
             Action::Forward(header, reason) => {
                 self.passed_on(flow, &header, reason);
                 self.forward(&header, packet, out);
@@ -238,6 +251,26 @@
         }
     }
 
+    fn waits(&mut self, flow: Flow) {
+        self.tally.count(Outcome::Held);
+        let (load, waits) = (self.forwarder.load(), self.forwarder.waits());
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            info!(log, "waits for a place"; "flow" => %flow, "waiting" => waits,
+                "busy" => load.busy, "slots" => load.slots);
+        }
+    }
+
+    fn admitted(&mut self, flow: Flow, waited: Duration) {
+        self.tally.count(Outcome::Admitted);
+        self.tally.time("wait", waited);
+        let waits = self.forwarder.waits();
+        if let Some(log) = self.tally.line(Rank::Usual, Instant::now()) {
+            info!(log, "given to the backend server"; "flow" => %flow, "reason" => "waited",
+                "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+                "waiting" => waits);
+        }
+    }
+
     fn passed_on(&mut self, flow: Flow, header: &Header, reason: Reason) {
         self.tally.count(Outcome::PassedOn(reason));
         let rank = match reason {
@@ -347,6 +380,7 @@
                 ("open", load.open.into()),
                 ("busy", load.busy.into()),
                 ("held", forwarder.held() as u64),
+                ("waiting", forwarder.waits() as u64),
                 ("redirects", forwarder.redirects() as u64),
                 ("epoch", forwarder.epoch()),
             ]
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -22,7 +22,7 @@
 /// First two bytes of every datagram.
 const MAGIC: u16 = 0x4A53;
 
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 pub(crate) const KIND_PACKET: u8 = 1;
 pub(crate) const KIND_NOTICE: u8 = 2;
@@ -31,7 +31,7 @@
 pub(crate) const FIXED_BYTES: usize = 20;
 
 /// Bytes of the hints, after the candidates of a packet.
-const HINT_BYTES: usize = 6 + 1 + LOAD_BYTES;
+const HINT_BYTES: usize = 6 + 1 + LOAD_BYTES + 2;
 
 /// Hop of the lightest candidate while there is none.
 const NO_HOP: u8 = u8::MAX;
@@ -43,6 +43,7 @@
 const TAGGED_INNER: usize = 64;
 
 const HOP_AT: usize = 4;
+const PRIORITY_AT: usize = 7;
 const FLAG_LOOKUP: u8 = 1;
 const FLAG_ACCEPT: u8 = 2;
 const FLAG_HINTS: u8 = 4;
@@ -120,6 +121,10 @@
     pub owned: bool,
     /// An agent that was visited may hold the flow without knowing it.
     pub doubtful: bool,
+    /// Order of the route under overload; 0 goes first.
+    pub priority: u8,
+    /// Time in ms within which an answer is wanted; 0 says nothing.
+    pub wanted_ms: u16,
     /// Hop and load of the lightest candidate that a SYN has visited.
     pub lightest: Option<(u8, Load)>,
 }
@@ -280,14 +285,13 @@
 pub(crate) fn put_fixed(
     out: &mut Vec<u8>,
     kind: u8,
-    header: [u8; 3],
+    header: [u8; 4],
     service: ServiceId,
     epoch: Epoch,
 ) {
     out.extend_from_slice(&MAGIC.to_be_bytes());
     out.extend_from_slice(&[VERSION, kind]);
     out.extend_from_slice(&header);
-    out.push(0);
     out.extend_from_slice(&service.0.to_be_bytes());
     out.extend_from_slice(&epoch.0.to_be_bytes());
 }
@@ -313,7 +317,12 @@
     put_fixed(
         out,
         KIND_PACKET,
-        [0, count as u8, header.flags.to_byte(&header.hints)],
+        [
+            0,
+            count as u8,
+            header.flags.to_byte(&header.hints),
+            header.hints.priority,
+        ],
         header.service,
         header.epoch,
     );
@@ -428,6 +437,7 @@
     let (hop, load) = hints.lightest.unwrap_or((NO_HOP, Load::default()));
     out.push(hop);
     out.extend_from_slice(&load.to_bytes());
+    out.extend_from_slice(&hints.wanted_ms.to_be_bytes());
 }
 
 fn take_hints(raw: &[u8], at: usize) -> Result<Hints, WireError> {
@@ -438,6 +448,8 @@
         origin: Some(origin).filter(|origin| origin.port() != 0),
         owned: raw[6] & FLAG_OWNED != 0,
         doubtful: raw[6] & FLAG_DOUBTFUL != 0,
+        priority: raw[PRIORITY_AT],
+        wanted_ms: u16::from_be_bytes(array(raw, at + 7 + LOAD_BYTES)?),
         lightest: (hop != NO_HOP).then_some((hop, load)),
     })
 }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -46,7 +46,7 @@
     put_fixed(
         out,
         KIND_NOTICE,
-        [0, count as u8, 0],
+        [0, count as u8, 0, 0],
         notice.service,
         Epoch(0),
     );
