--- a/bin/control/src/settings.rs
+++ b/bin/control/src/settings.rs
@@ -55,6 +55,9 @@
     /// Join a group that exists already.
     #[serde(default)]
     pub join: bool,
+    /// The folder does not outlast the process: the replica joins at each start and never votes.
+    #[serde(default)]
+    pub observer: bool,
     /// Ways to addresses of other processes that can't be reached directly.
     #[serde(default)]
     pub routes: Vec<rpc::Route>,
@@ -111,7 +114,8 @@
             address: self.listen,
             folder: self.folder.clone(),
             peers: self.peers.clone(),
-            join: self.join,
+            join: self.join || self.observer,
+            observer: self.observer,
             snapshot_bytes: self.files.snapshot.0,
             tail: self.files.tail,
             segment_bytes: self.files.segment.0,
@@ -149,7 +153,7 @@
         let own = peers.iter().find(|peer| peer.address == common.address);
         ReplicaSettings {
             id: own.map_or(ReplicaId(peers.len() as u64 + 1), |peer| peer.id),
-            join: !self.bootstrap || own.is_none(),
+            join: !self.bootstrap || own.is_none() || common.observer,
             voters: Some(2 * self.tolerated + 1),
             peers,
             ..common
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -282,14 +282,16 @@
                     term,
                     formed: true,
                     ready: true,
+                    observer: self.settings.observer,
                     peers,
                 };
                 // The asker repeats the question if it has gone away.
                 let _ = reply.send(Answer::State(standing));
             }
-            (Wire::Join { address }, Some(reply)) => {
+            (Wire::Join { address, observer }, Some(reply)) => {
                 let id = ReplicaId(self.state.config().next);
-                self.change(Change::Join { address }, Waiter::Join(id, reply));
+                let votes = !observer;
+                self.change(Change::Join { address, votes }, Waiter::Join(id, reply));
             }
             (Wire::Probe | Wire::Join { .. }, None) => {}
         }
--- a/crates/replica/src/form.rs
+++ b/crates/replica/src/form.rs
@@ -50,7 +50,7 @@
     pub(crate) log: &'a Logger,
     pub(crate) inputs: &'a mut mpsc::Receiver<Input>,
     pub(crate) store: &'a mut Store,
-    /// First membership, by id.
+    /// First membership, by id; without observers once they are known.
     pub(crate) peers: Vec<Peer>,
 }
 
@@ -91,19 +91,27 @@
                 term: if formed { FIRST_TERM } else { 0 },
                 formed,
                 ready: false,
-                peers: self.peers.clone(),
+                observer: false,
+                peers: first_members(self.settings),
             };
             let answers = match self.ask(&standing).await {
                 Ok(answers) => answers,
                 Err(start) => return start,
             };
+            if self.leave_out(&answers) {
+                continue;
+            }
+            let answers: Vec<_> = answers.into_iter().map(|(_, answer)| answer).collect();
             let elected = answers.iter().any(|a| a.term > FIRST_TERM);
             if elected && !formed {
                 warn!(self.log, "the group exists but this replica's folder is empty; \
                     joining as a learner under a new id"; "old_id" => %self.settings.id);
                 return self.join().await;
             }
-            if answers.iter().any(|a| a.formed && a.peers != self.peers) {
+            if answers
+                .iter()
+                .any(|a| a.formed && a.peers != standing.peers)
+            {
                 warn!(
                     self.log,
                     "another replica was started with other peers; \
@@ -126,6 +134,17 @@
         }
     }
 
+    /// Forms the group without the peers that keep nothing; whether there were any.
+    fn leave_out(&mut self, answers: &[(SocketAddr, Standing)]) -> bool {
+        let observes = |peer: &Peer| {
+            let mut answers = answers.iter();
+            answers.any(|(address, a)| *address == peer.address && a.observer)
+        };
+        let before = self.peers.len();
+        self.peers.retain(|peer| !observes(peer));
+        before > self.peers.len()
+    }
+
     fn first_state(&self) -> Restored {
         let members = self.peers.iter().map(|p| (p.id, p.address));
         let payload = Payload::Config(Config::new(members));
@@ -170,17 +189,20 @@
     }
 
     /// Asks all other replicas how far they are.
-    async fn ask(&mut self, standing: &Standing) -> Result<Vec<Standing>, Start> {
+    async fn ask(&mut self, standing: &Standing) -> Result<Vec<(SocketAddr, Standing)>, Start> {
         let mut calls = JoinSet::new();
         for peer in self.peers.iter().filter(|p| p.id != self.settings.id) {
             let (client, address) = (self.client.clone(), peer.address);
-            calls.spawn(async move { call(&client, address, &Wire::Probe, LIMIT).await });
+            calls.spawn(async move {
+                let answer = call(&client, address, &Wire::Probe, LIMIT).await;
+                (address, answer)
+            });
         }
         let all = async {
             let mut answers = Vec::new();
             while let Some(answer) = calls.join_next().await {
-                if let Ok(Ok(Answer::State(standing))) = answer {
-                    answers.push(standing);
+                if let Ok((address, Ok(Answer::State(standing)))) = answer {
+                    answers.push((address, standing));
                 }
             }
             answers
@@ -193,14 +215,26 @@
         let own = self.settings.address;
         let known: Vec<_> = self.settings.peers.iter().map(|p| p.address).collect();
         let limit = self.settings.propose_limit + LIMIT;
+        // Replicas that form the group need to know that they must not wait for this one.
+        let standing = self.settings.observer.then(|| Standing {
+            term: 0,
+            formed: false,
+            ready: false,
+            observer: true,
+            peers: first_members(self.settings),
+        });
         let mut hint = None;
         for turn in 0.. {
             let others: Vec<_> = known.iter().copied().filter(|a| *a != own).collect();
             let next = others.get(turn % others.len().max(1)).copied();
             if let Some(address) = hint.take().or(next) {
-                let (client, wire) = (self.client.clone(), Wire::Join { address: own });
+                let client = self.client.clone();
+                let wire = Wire::Join {
+                    address: own,
+                    observer: self.settings.observer,
+                };
                 let request = async move { call(&client, address, &wire, limit).await };
-                match self.serve(None, request).await {
+                match self.serve(standing.as_ref(), request).await {
                     Ok(Ok(Answer::Joined { id })) => {
                         if let Some(start) = self.try_write(|forming| forming.joined(id)) {
                             return start;
@@ -211,7 +245,8 @@
                     Err(start) => return start,
                 }
             }
-            if let Err(start) = self.serve(None, tokio::time::sleep(PAUSE)).await {
+            let pause = tokio::time::sleep(PAUSE);
+            if let Err(start) = self.serve(standing.as_ref(), pause).await {
                 return start;
             }
         }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -92,7 +92,6 @@
             transfer_limit: settings.election.1 * 2,
             max_command: settings.max_command,
         };
-        let log = log.new(o!("replica" => id.0));
         tokio::spawn(run(settings, opened, client, log, inputs, status));
         Ok(replica)
     }
@@ -340,6 +339,7 @@
         }
         Start::Dropped => return None,
     };
+    let log = &log.new(o!("replica" => id.0));
     let snapshot = restored.snapshot.as_ref().map_or(0, |s| s.index);
     let rng = settings
         .seed
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -38,6 +38,9 @@
     /// Join an existing group under an id given by its leader instead of
     /// forming one. Ignored when the folder holds a replica's files.
     pub join: bool,
+    /// The folder does not outlast the process, so this replica never votes. It joins the group
+    /// anew at each start.
+    pub observer: bool,
     /// Most voters: replicas that join beyond it stay learners until a voter is silent. Without it
     /// every replica that joins becomes a voter.
     pub voters: Option<usize>,
@@ -73,6 +76,7 @@
             folder: PathBuf::new(),
             peers: Vec::new(),
             join: false,
+            observer: false,
             voters: None,
             silence: Duration::from_millis(1_500),
             election: (Duration::from_millis(300), Duration::from_millis(600)),
@@ -113,6 +117,9 @@
                 "the own address and the own id must belong together",
             );
         }
+        if self.observer && !self.join {
+            return invalid("observer", "an observer joins a group; set join as well");
+        }
         if self.join && self.peers.iter().all(address) {
             return invalid("peers", "must name a replica of the group to join");
         }
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -26,6 +26,8 @@
     Join {
         /// Address of the replica that asks.
         address: SocketAddr,
+        /// It keeps nothing, so it must not vote.
+        observer: bool,
     },
 }
 
@@ -59,6 +61,8 @@
     pub(crate) formed: bool,
     /// Whether it has seen that all have files.
     pub(crate) ready: bool,
+    /// It keeps nothing, so the group forms without it.
+    pub(crate) observer: bool,
     /// First membership from its settings, by id.
     pub(crate) peers: Vec<Peer>,
 }
--- a/crates/replica/tests/faults.rs
+++ b/crates/replica/tests/faults.rs
@@ -64,6 +64,32 @@
     }
 }
 
+/// Guards against a group that waits for a replica without a disk before it forms, counts on its vote,
+/// or grows with each of its starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_forms_without_its_observer() {
+    let mut group = Group::new(4, 4, settings());
+    group.observer = Some(1);
+    for n in [1, 0, 2, 3] {
+        group.start(n).await;
+    }
+    let known = group.commit_all("first", 3).await;
+    for _ in 0..2 {
+        group
+            .until("a learner that follows", |g| {
+                g.status(1).leader.is_some() && g.status(1).applied > 3
+            })
+            .await;
+        let status = group.status(group.leader().await);
+        let voters = status.peers.iter().filter(|p| p.voter).count();
+        assert_eq!((voters, status.peers.len()), (2, 3), "{status:?}");
+        assert_eq!(group.status(1).role, Role::Learner);
+        group.lose_disk(1);
+        group.start(1).await;
+    }
+    group.check(&known).await;
+}
+
 /// Guards against a replica that votes under its old id after it lost its disk,
 /// and against commits that depend on a replica that has not caught up, when
 /// a second one is lost right after the repair.
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -43,6 +43,8 @@
     pub nodes: Vec<Node>,
     pub settings: ReplicaSettings,
     voters: usize,
+    /// Replica that keeps nothing, though it is among the first ones.
+    pub observer: Option<usize>,
 }
 
 fn key(n: u8) -> rpc::Key {
@@ -136,6 +138,7 @@
             nodes,
             settings,
             voters,
+            observer: None,
         }
     }
 
@@ -168,7 +171,8 @@
             address: node.address,
             folder: node.dir.path().to_owned(),
             peers,
-            join: n >= self.voters,
+            join: n >= self.voters || self.observer == Some(n),
+            observer: self.observer == Some(n),
             ..self.settings.clone()
         };
         let runtime = tokio::runtime::Builder::new_multi_thread()
