Keep no files at all for observers

Change: an observer opens no files; its log lives in memory, as every replica's does besides. Settings name either a data folder or an observer.

Ruled out: going on without the lock, since renames fail as well.

Tests of replica, control and platform pass; the checks of settings have two new cases.

--- a/bin/control/src/settings.rs
+++ b/bin/control/src/settings.rs
@@ -35,7 +35,8 @@
     pub region: Region,
     /// Address for operators, nodes and the other replicas.
     pub listen: SocketAddr,
-    /// Data folder.
+    /// Data folder; an observer has none.
+    #[serde(default)]
     pub folder: PathBuf,
     /// File with the shared key.
     #[serde(default)]
@@ -55,7 +56,7 @@
     /// Join a group that exists already.
     #[serde(default)]
     pub join: bool,
-    /// The folder does not outlast the process: the replica joins at each start and never votes.
+    /// Keep no files: the replica joins at each start and never votes.
     #[serde(default)]
     pub observer: bool,
     /// Ways to addresses of other processes that can't be reached directly.
@@ -161,8 +162,11 @@
     }
 }
 
-/// Makes the data folder and checks that it can be written to.
+/// Makes the data folder, unless there is none, and checks that it can be written to.
 pub fn prepare(folder: &Path) -> Result<(), ControlError> {
+    if folder.as_os_str().is_empty() {
+        return Ok(());
+    }
     let probe = folder.join(".probe");
     std::fs::create_dir_all(folder)
         .and_then(|()| std::fs::write(&probe, b""))
@@ -212,6 +216,10 @@
         );
         return Err(document.invalid("listen", message));
     }
+    if settings.folder.as_os_str().is_empty() != settings.observer {
+        let message = "name a data folder, or set \"observer\" for a replica without files";
+        return Err(document.invalid("folder", message));
+    }
     if settings.log.level.parse::<slog::Level>().is_err() {
         let message = format!(
             "{:?} is not a level; use debug, info, warning or error",
--- a/bin/control/tests/all/start.rs
+++ b/bin/control/tests/all/start.rs
@@ -45,7 +45,7 @@
     );
 
     type Break = fn(&mut serde_json::Value);
-    let cases: [(Break, &str); 9] = [
+    let cases: [(Break, &str); 11] = [
         (|s| s["unknown"] = 1.into(), "unknown field `unknown`"),
         (|s| s["listen"] = "localhost".into(), "listen: "),
         (
@@ -55,6 +55,8 @@
         (|s| s["listen"] = "127.0.0.1:1".into(), "make both equal"),
         (|s| s["id"] = 9.into(), "replica 9 is not in peers"),
         (|s| s["peers"] = serde_json::json!([]), "0 replicas"),
+        (|s| s["folder"] = "".into(), "folder: name a data folder"),
+        (|s| s["observer"] = true.into(), "folder: name a data folder"),
         (
             |s| s["log"] = serde_json::json!({ "level": "loud" }),
             "log.level: \"loud\"",
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -8,11 +8,11 @@
     Action, Body, Change, Command, Event, Kind, Message, Payload, RoleName, State, Write,
 };
 use slog::{Logger, crit, info, warn};
-use storage::Store;
 use tokio::sync::{mpsc, oneshot, watch};
 use units::ReplicaId;
 
 use crate::disk::{Disk, Job};
+use crate::files::Files;
 use crate::form::FIRST_TERM;
 use crate::input::{Input, Reply, reason};
 use crate::peers::Peers;
@@ -61,7 +61,7 @@
 pub(crate) struct Removed {
     pub(crate) inputs: mpsc::Receiver<Input>,
     pub(crate) status: watch::Sender<ReplicaStatus>,
-    pub(crate) store: Store,
+    pub(crate) files: Files,
     pub(crate) machine: Machine,
     /// Last entry that the state machine has applied; committed, so it stays as it is.
     pub(crate) applied: u64,
@@ -166,13 +166,13 @@
         );
         self.peers.retain(|_| false);
         self.done.close();
-        let store = self.disk.stop().await?;
+        let files = self.disk.stop().await?;
         let machine = self.worker.stop().await?;
         Some(Removed {
             applied: self.progress.handed,
             inputs: self.inputs,
             status: self.status,
-            store,
+            files,
             machine,
         })
     }
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -6,11 +6,12 @@
 
 use replication::{CodecError, Config, Entry, Payload, Restored, Snapshot, Vote, Write};
 use slog::{Logger, error, info, warn};
-use storage::{Contents, Identity, StorageError, Store};
+use storage::{Contents, Identity, StorageError};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::JoinHandle;
 use units::ReplicaId;
 
+use crate::files::Files;
 use crate::work::Done;
 
 /// Time between attempts while writes fail.
@@ -41,19 +42,19 @@
 #[derive(Debug)]
 pub(crate) struct Disk {
     jobs: mpsc::Sender<Job>,
-    task: JoinHandle<Store>,
+    task: JoinHandle<Files>,
 }
 
 impl Disk {
     pub(crate) fn start(
-        store: Store,
+        files: Files,
         id: ReplicaId,
         done: UnboundedSender<Done>,
         log: Logger,
     ) -> Self {
         let (jobs, queue) = mpsc::channel();
         let writer = Writer {
-            store,
+            files,
             id,
             done,
             log,
@@ -71,14 +72,14 @@
     /// Ends the thread after the queued work. While writes fail it ends at once,
     /// provided that the receiver of its reports is closed. The files are gone if the thread
     /// panicked, which was reported when it happened.
-    pub(crate) async fn stop(self) -> Option<Store> {
+    pub(crate) async fn stop(self) -> Option<Files> {
         drop(self.jobs);
         self.task.await.ok()
     }
 }
 
 struct Writer {
-    store: Store,
+    files: Files,
     id: ReplicaId,
     done: UnboundedSender<Done>,
     log: Logger,
@@ -86,9 +87,9 @@
 }
 
 impl Writer {
-    fn run(mut self, queue: &mpsc::Receiver<Job>) -> Store {
+    fn run(mut self, queue: &mpsc::Receiver<Job>) -> Files {
         self.work(queue);
-        self.store
+        self.files
     }
 
     fn work(&mut self, queue: &mpsc::Receiver<Job>) {
@@ -107,7 +108,7 @@
                     Job::Snapshot { snapshot, tail } => self.snapshot(snapshot, tail),
                 }
             }
-            if !self.persist(|w| w.store.sync()) {
+            if !self.persist(|w| w.files.sync()) {
                 return;
             }
             if let Some(seq) = last {
@@ -143,22 +144,19 @@
 
     fn stage(&mut self, write: &Write, commit: u64) -> Result<(), StorageError> {
         match write {
-            Write::Vote(vote) => self.store.save(identity(self.id, *vote)),
+            Write::Vote(vote) => self.files.vote(self.id, *vote),
             Write::Append(entries) => {
-                let store = &mut self.store;
-                entries.iter().try_for_each(|e| stage(store, e, commit))
+                let files = &mut self.files;
+                entries.iter().try_for_each(|e| files.append(e, commit))
             }
-            Write::Install(snapshot) => self.store.install(&to_file(snapshot)?),
+            Write::Install(snapshot) => self.files.install(snapshot),
         }
     }
 
     /// A failed snapshot is taken again later; until then the log stays.
     fn snapshot(&mut self, snapshot: Arc<Snapshot>, tail: u64) {
         let keep = snapshot.index.saturating_sub(tail);
-        let written = to_file(&snapshot).and_then(|file| {
-            self.store.snapshot(&file)?;
-            self.store.compact(keep)
-        });
+        let written = self.files.snapshot(&snapshot, keep);
         if let Err(cause) = &written {
             warn!(self.log, "cannot write a snapshot"; "error" => %cause);
         }
@@ -182,12 +180,11 @@
     }
 }
 
-/// Stages an entry, with the last index known to be committed: what a replica can show after a
-/// start before it knows of a leader.
-pub(crate) fn stage(store: &mut Store, entry: &Entry, commit: u64) -> Result<(), StorageError> {
+/// Kind and payload of an entry's record, with the last index known to be committed: what a replica
+/// can show after a start before it knows of a leader.
+pub(crate) fn record(entry: &Entry, commit: u64) -> Result<(u8, Vec<u8>), StorageError> {
     let (kind, payload) = entry.payload.to_record().map_err(invalid)?;
-    let payload = [&payload.0[..], &commit.to_be_bytes()].concat();
-    store.append((kind, entry.term, entry.index), &payload)
+    Ok((kind, [&payload.0[..], &commit.to_be_bytes()].concat()))
 }
 
 /// The payload of a record, and the index that was known to be committed.
@@ -199,7 +196,7 @@
     Ok((payload.to_vec(), u64::from_be_bytes(*commit)))
 }
 
-fn to_file(snapshot: &Snapshot) -> Result<storage::Snapshot, StorageError> {
+pub(crate) fn to_file(snapshot: &Snapshot) -> Result<storage::Snapshot, StorageError> {
     Ok(storage::Snapshot {
         index: snapshot.index,
         term: snapshot.term,
--- a/crates/replica/src/form.rs
+++ b/crates/replica/src/form.rs
@@ -13,12 +13,12 @@
 
 use replication::{Config, Entry, Payload, Restored, Vote};
 use slog::{Logger, error, info, warn};
-use storage::{StorageError, Store};
+use storage::StorageError;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use units::ReplicaId;
 
-use crate::disk::{identity, stage};
+use crate::files::Files;
 use crate::input::Input;
 use crate::peers::call;
 use crate::wire::{Answer, Standing, Wire};
@@ -49,7 +49,7 @@
     pub(crate) client: &'a rpc::Client,
     pub(crate) log: &'a Logger,
     pub(crate) inputs: &'a mut mpsc::Receiver<Input>,
-    pub(crate) store: &'a mut Store,
+    pub(crate) files: &'a mut Files,
     /// First membership, by id; without observers once they are known.
     pub(crate) peers: Vec<Peer>,
 }
@@ -178,12 +178,12 @@
     /// Writes the first membership; the same at each replica.
     fn form(&mut self) -> Result<(ReplicaId, Restored), StorageError> {
         let (id, first) = (self.settings.id, self.first_state());
-        self.store.save(identity(id, first.vote))?;
+        self.files.vote(id, first.vote)?;
         first
             .entries
             .iter()
-            .try_for_each(|e| stage(self.store, e, 0))?;
-        self.store.sync()?;
+            .try_for_each(|e| self.files.append(e, 0))?;
+        self.files.sync()?;
         info!(self.log, "formed a new group"; "replicas" => self.peers.len());
         Ok((id, first))
     }
@@ -254,7 +254,7 @@
     }
 
     fn joined(&mut self, id: ReplicaId) -> Result<Start, StorageError> {
-        self.store.save(identity(id, Vote::default()))?;
+        self.files.vote(id, Vote::default())?;
         info!(self.log, "joined the group as a learner"; "id" => %id);
         Ok(Start::Run(id, Restored::default()))
     }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -6,12 +6,12 @@
 use rand::rngs::StdRng;
 use replication::{Change, Restored, State};
 use slog::{Logger, crit, o, warn};
-use storage::{Options, Store};
 use tokio::sync::{mpsc, oneshot, watch};
 use units::ReplicaId;
 
 use crate::core::{Core, Progress, Removed};
 use crate::disk::{self, Disk};
+use crate::files::Files;
 use crate::form::{Forming, Start, first_members};
 use crate::input::{Input, Reply};
 use crate::peers::Peers;
@@ -73,8 +73,8 @@
         log: Logger,
     ) -> Result<Self, ReplicaError> {
         settings.check()?;
-        let (folder, segment) = (settings.folder.clone(), settings.segment_bytes);
-        let opened = tokio::task::spawn_blocking(move || open(&folder, segment, machine));
+        let opening = settings.clone();
+        let opened = tokio::task::spawn_blocking(move || open(&opening, machine));
         let opened = opened.await.map_err(|_| ReplicaError::Stopped)??;
         for warning in &opened.warnings {
             warn!(log, "repaired a file"; "detail" => warning.as_ref());
@@ -242,18 +242,18 @@
 
 /// Files and state machine after a start.
 struct Opened {
-    store: Store,
+    files: Files,
     machine: Machine,
     restored: Option<(ReplicaId, Restored)>,
     warnings: Vec<Box<str>>,
 }
 
-fn open(
-    folder: &std::path::Path,
-    segment: u64,
-    mut machine: Machine,
-) -> Result<Opened, ReplicaError> {
-    let (store, mut contents) = Store::open(folder, Options { segment })?;
+fn open(settings: &ReplicaSettings, mut machine: Machine) -> Result<Opened, ReplicaError> {
+    let (files, mut contents) = if settings.observer {
+        Files::none()
+    } else {
+        Files::open(&settings.folder, settings.segment_bytes)?
+    };
     let warnings = std::mem::take(&mut contents.warnings);
     let restored = disk::restore(contents)?;
     if let Some(snapshot) = restored.as_ref().and_then(|(_, r)| r.snapshot.as_ref()) {
@@ -262,7 +262,7 @@
             .map_err(|message| ReplicaError::Restore { index, message })?;
     }
     Ok(Opened {
-        store,
+        files,
         machine,
         restored,
         warnings,
@@ -287,11 +287,11 @@
         applied = removed.applied;
         settings.join = true;
         (inputs, status) = (removed.inputs, removed.status);
-        let (folder, segment) = (settings.folder.clone(), settings.segment_bytes);
-        let (store, machine) = (removed.store, removed.machine);
+        let opening = settings.clone();
+        let (files, machine) = (removed.files, removed.machine);
         let reopened = tokio::task::spawn_blocking(move || {
-            store.discard()?;
-            open(&folder, segment, machine)
+            files.discard()?;
+            open(&opening, machine)
         });
         opened = match reopened.await {
             Ok(Ok(opened)) => opened,
@@ -316,7 +316,7 @@
     (mut inputs, status): (mpsc::Receiver<Input>, watch::Sender<ReplicaStatus>),
 ) -> Option<Removed> {
     let Opened {
-        mut store,
+        mut files,
         machine,
         restored,
         ..
@@ -326,13 +326,13 @@
         client,
         log,
         inputs: &mut inputs,
-        store: &mut store,
+        files: &mut files,
         peers: first_members(settings),
     };
     let (id, restored) = match forming.run(restored).await {
         Start::Run(id, restored) => (id, restored),
         Start::Stop(reply) => {
-            drop(store);
+            drop(files);
             // The caller of `stop` may have gone away.
             let _ = reply.send(());
             return None;
@@ -355,7 +355,7 @@
         state,
         inputs,
         done,
-        disk: Disk::start(store, id, report.clone(), log.clone()),
+        disk: Disk::start(files, id, report.clone(), log.clone()),
         worker: Worker::start(machine, report),
         peers: Peers::new(own, client.clone(), log.clone()),
         status,
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -21,6 +21,7 @@
 mod core;
 mod disk;
 mod error;
+mod files;
 mod form;
 mod handle;
 mod input;
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -38,8 +38,7 @@
     /// Join an existing group under an id given by its leader instead of
     /// forming one. Ignored when the folder holds a replica's files.
     pub join: bool,
-    /// The folder does not outlast the process, so this replica never votes. It joins the group
-    /// anew at each start.
+    /// Keep no files, and so never vote: join the group anew at each start. The folder is not used.
     pub observer: bool,
     /// Most voters: replicas that join beyond it stay learners until a voter is silent. Without it
     /// every replica that joins becomes a voter.
