Trace an id through the logs of all processes

Cause: an engineer with a complaint had one log per process, with clocks that may differ by seconds, and nothing that shows the decisions about one flow in order.

Change: `jacinthsill trace ID FILE...` reads the programs' JSON lines, whatever stands in front of them, keeps those that name the id (flow, one end of it, address, host or any value of a field) and the lines about no flow of the same processes around that time, and puts them in order; clocks are compared by the flows that two VMs both log. The decision is a library without I/O (crates/trace). `get` and `retire` know routes. The formatted test of control goes in.

Tests: trace (5, among them clocks that differ by 3 s and a property on any text), jacinthsill (a flow through two logs, unknown id, missing file, no file).

--- a/bin/control/tests/all/start.rs
+++ b/bin/control/tests/all/start.rs
@@ -56,7 +56,10 @@
         (|s| s["id"] = 9.into(), "replica 9 is not in peers"),
         (|s| s["peers"] = serde_json::json!([]), "0 replicas"),
         (|s| s["folder"] = "".into(), "folder: name a data folder"),
-        (|s| s["observer"] = true.into(), "folder: name a data folder"),
+        (
+            |s| s["observer"] = true.into(),
+            "folder: name a data folder",
+        ),
         (
             |s| s["log"] = serde_json::json!({ "level": "loud" }),
             "log.level: \"loud\"",
--- a/bin/jacinthsill/src/cli.rs
+++ b/bin/jacinthsill/src/cli.rs
@@ -35,6 +35,8 @@
     Profile,
     /// Service.
     Service,
+    /// Route.
+    Route,
 }
 
 impl Kind {
@@ -44,6 +46,7 @@
         match self {
             Self::Profile => "profile",
             Self::Service => "service",
+            Self::Route => "route",
         }
     }
 }
@@ -55,7 +58,8 @@
         match text {
             "profile" => Ok(Self::Profile),
             "service" => Ok(Self::Service),
-            _ => Err(format!("{text:?} is not profile or service")),
+            "route" => Ok(Self::Route),
+            _ => Err(format!("{text:?} is not profile, service or route")),
         }
     }
 }
@@ -94,7 +98,7 @@
         }
         /// Shows one declaration.
         cmd get {
-            /// profile or service.
+            /// profile, service or route.
             required kind: Kind
             required name: String
         }
@@ -103,7 +107,7 @@
         }
         /// Retires a declaration.
         cmd retire {
-            /// profile or service.
+            /// profile, service or route.
             required kind: Kind
             required name: String
             /// Version that you saw; the current one if left out.
@@ -135,5 +139,14 @@
         /// Shows the audit record.
         cmd audit {
         }
+        /// Shows what the logs in files say about a flow or another id, without control.
+        cmd trace {
+            /// Flow (caller>service), one end of it, a host, or any value of a field.
+            required id: String
+            /// Logs of the processes, in any order.
+            repeated file: PathBuf
+            /// Seconds around its own lines from which lines about no flow are shown; default 1.
+            optional --around seconds: u64
+        }
     }
 }
--- a/bin/jacinthsill/src/command/mod.rs
+++ b/bin/jacinthsill/src/command/mod.rs
@@ -3,6 +3,9 @@
 mod change;
 mod folder;
 mod read;
+mod trace;
+
+pub use trace::Report as TraceReport;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,8 +41,10 @@
 /// See [`CliError`].
 pub fn run(options: &Jacinthsill) -> Result<Code, CliError> {
     let output = options.output.unwrap_or_default();
-    if let JacinthsillCmd::Check(check) = &options.subcommand {
-        return folder::check(output, check);
+    match &options.subcommand {
+        JacinthsillCmd::Check(check) => return folder::check(output, check),
+        JacinthsillCmd::Trace(options) => return trace::run(output, options),
+        _ => {}
     }
     let context = Context {
         client: Client::new(control(options)?, limit(options)?)?,
@@ -65,6 +70,7 @@
         JacinthsillCmd::Status(_) => read::status(context).await,
         JacinthsillCmd::Report(_) => read::report(context).await,
         JacinthsillCmd::Audit(_) => read::audit(context).await,
+        JacinthsillCmd::Trace(options) => trace::run(context.output, options),
     }
 }
 
--- a/bin/jacinthsill/src/text.rs
+++ b/bin/jacinthsill/src/text.rs
@@ -9,6 +9,7 @@
 use units::{HostName, Millis};
 
 use crate::cli::Output;
+use crate::command::TraceReport;
 use crate::error::CliError;
 use crate::time;
 
@@ -26,6 +27,40 @@
     }
 }
 
+/// Lines about an id.
+pub fn trace(out: &mut Vec<String>, report: &TraceReport) {
+    for clock in &report.clocks {
+        out.push(format!(
+            "// clock of {}: {:+.3} s added",
+            clock.node,
+            clock.added_us as f64 / 1e6
+        ));
+    }
+    if report.skipped > 0 {
+        out.push(format!("// {} lines are no records", report.skipped));
+    }
+    for found in &report.lines {
+        let mark = if found.named { ' ' } else { '·' };
+        let line = &found.line;
+        let mut text = format!(
+            "{} {mark} {:<10} {:<24} {}",
+            time::show_us(found.time_us),
+            line.program,
+            line.node,
+            line.msg
+        );
+        for (name, value) in &line.fields {
+            text += &format!("  {name}={}", plain(value));
+        }
+        out.push(text);
+    }
+}
+
+/// A value without the quotes of a text.
+fn plain(value: &serde_json::Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), Into::into)
+}
+
 /// Prints an error as JSON.
 pub fn print_error(error: &CliError) {
     let value = json!({ "error": error.to_string(), "exit": error.code() as u8 });
--- a/bin/jacinthsill/src/time.rs
+++ b/bin/jacinthsill/src/time.rs
@@ -58,3 +58,12 @@
         |time| time.to_rfc3339_opts(SecondsFormat::Millis, true),
     )
 }
+
+/// RFC 3339 in UTC from microseconds.
+#[must_use]
+pub fn show_us(time_us: i64) -> String {
+    DateTime::from_timestamp_micros(time_us).map_or_else(
+        || "-".into(),
+        |time| time.to_rfc3339_opts(SecondsFormat::Micros, true),
+    )
+}
--- a/bin/jacinthsill/tests/all/codes.rs
+++ b/bin/jacinthsill/tests/all/codes.rs
@@ -30,7 +30,7 @@
         (&["apply", &two], 0, "version 3"),
         (&["get", "profile", "p"], 0, "\"warmup_ms\": 2"),
         (&["get", "profile", "q"], 1, "profile q does not exist"),
-        (&["get", "thing", "q"], 2, "not profile or service"),
+        (&["get", "thing", "q"], 2, "not profile, service or route"),
         (&["list"], 0, "10.0.0.1:80 profile p"),
         (&["retire", "profile", "p"], 2, "in use by service s"),
         (
--- a/bin/jacinthsill/tests/all/main.rs
+++ b/bin/jacinthsill/tests/all/main.rs
@@ -11,3 +11,4 @@
 mod harness;
 mod lossy;
 mod operators;
+mod trace;
--- /dev/null
+++ b/crates/trace/tests/trace.rs
@@ -0,0 +1,127 @@
+//! Traces over recorded lines.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
+use quickcheck::quickcheck;
+use trace::{Line, Search};
+
+const FLOW: &str = "100.64.0.7:40001>198.18.0.1:443";
+
+/// A line `ms` after a fixed time.
+fn line(ms: i64, node: &str, msg: &str, flow: Option<&str>) -> Line {
+    let time = chrono::DateTime::from_timestamp_millis(1_800_000_000_000 + ms).unwrap();
+    let flow = flow.map_or(String::new(), |flow| format!(r#","flow":"{flow}""#));
+    let ts = time.to_rfc3339();
+    let text = format!(r#"{{"ts":"{ts}","node":"{node}","program":"p","msg":"{msg}"{flow}}}"#);
+    Line::parse(&text).unwrap()
+}
+
+fn search(id: &str, around_ms: i64) -> Search {
+    Search {
+        id: id.into(),
+        around_us: around_ms * 1_000,
+    }
+}
+
+fn messages(search: &Search, lines: &[Line]) -> Vec<Box<str>> {
+    let trace = search.run(lines);
+    trace
+        .found
+        .into_iter()
+        .map(|found| found.line.msg)
+        .collect()
+}
+
+/// Guards against a log that can't be read because something prefixes its lines, and against lines
+/// of others that end the search.
+#[test]
+fn prefixes_and_other_lines_are_borne() {
+    let text = r#"  26.4696 b-1 {"msg":"refused","level":"WARN","ts":"2026-05-11T06:51:52.5Z","node":"b-1","program":"balancer","flow":"1.2.3.4:5>6.7.8.9:80"}"#;
+    let line = Line::parse(text).unwrap();
+    assert_eq!((&*line.node, &*line.msg), ("b-1", "refused"));
+    assert_eq!(line.flow(), Some("1.2.3.4:5>6.7.8.9:80"));
+    for other in [
+        "",
+        "panicked at",
+        "{",
+        r#"{"msg":"no time"}"#,
+        r#"{"ts":1}"#,
+    ] {
+        assert_eq!(Line::parse(other), None, "{other:?}");
+    }
+}
+
+/// Guards against a complaint that can't be matched because the caller's address alone is known.
+#[test]
+fn ids_match_whole_values_only() {
+    let line = line(0, "b-1", "refused", Some(FLOW));
+    for id in [
+        FLOW,
+        "100.64.0.7:40001",
+        "198.18.0.1:443",
+        "100.64.0.7",
+        "b-1",
+    ] {
+        assert!(line.names(id), "{id}");
+    }
+    for id in ["100.64.0.7:4000", "100.64.0", "0.64.0.7", "b-"] {
+        assert!(!line.names(id), "{id}");
+    }
+}
+
+/// Guards against a search that shows a flow but not what the processes believed meanwhile, or
+/// drowns it in lines of others.
+#[test]
+fn beliefs_of_the_same_processes_come_along() {
+    let lines = [
+        line(0, "b-1", "view in force", None),
+        line(800, "a-1", "members in force", None),
+        line(900, "a-2", "members in force", None),
+        line(1_000, "b-1", "SYN sent", Some(FLOW)),
+        line(1_001, "a-1", "reset", Some(FLOW)),
+        line(1_001, "a-1", "another flow", Some("1.1.1.1:1>2.2.2.2:2")),
+    ];
+    let found = messages(&search(FLOW, 500), &lines);
+    assert_eq!(
+        found,
+        ["members in force", "SYN sent", "reset"].map(Box::from)
+    );
+    assert_eq!(messages(&search("nobody", 500), &lines), []);
+}
+
+/// Guards against an order of events that follows clocks which are seconds apart.
+#[test]
+fn clocks_are_aligned_by_the_flows_that_both_log() {
+    let mut lines = Vec::new();
+    for flow in ["1.1.1.1:1>9.9.9.9:9", "1.1.1.1:2>9.9.9.9:9", FLOW] {
+        let at = i64::try_from(lines.len()).unwrap() * 100;
+        lines.push(line(at, "b-1", "SYN sent", Some(flow)));
+        // Its clock is 3 s behind.
+        lines.push(line(
+            at + 2 - 3_000,
+            "a-1",
+            "given to the backend server",
+            Some(flow),
+        ));
+    }
+    let trace = search(FLOW, 0).run(&lines);
+    let order: Vec<_> = trace.found.iter().map(|f| &*f.line.msg).collect();
+    assert_eq!(
+        order.last(),
+        Some(&"given to the backend server"),
+        "{order:?}"
+    );
+    let corrected: Vec<_> = trace.offsets.corrected().collect();
+    assert_eq!(corrected.len(), 1, "{corrected:?}");
+    assert!((2_900_000..3_100_000).contains(&corrected[0].1.abs()));
+}
+
+quickcheck! {
+    /// Guards against a line that ends the search.
+    fn any_text_is_borne(text: String, id: String) -> bool {
+        if let Some(line) = Line::parse(&text) {
+            let _ = line.names(&id);
+        }
+        true
+    }
+}
