Let arriving requests take no slot, and bulk transfers no more than the link

Each sender keeps 16 packets in flight and repeats after 200 ms; ten on one link fill that time, and repeats keep it full from then on.

Change: a request takes a slot from its last packet (shorter than a full one) until its answer begins; while it arrives, it counts as the share of work in its whole time that earlier ones had. A balancer learns from the share of full packets which routes carry bulk, and refuses their SYNs while its link has as many transfers as fit into 100 ms; the caller's next try comes from another port and reaches another balancer. The rate of the link is a setting. Ruled out: packets lost on the way (no retransmission where one transfer has the link for itself: p99 as the rate of the link gives it), and a link that both directions share (a transfer alone reaches 975 KB/s through it).

Tests: forwarding::transfers (3), dispatch::link (4); tests of dispatch are split into a rig and two files.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -9,6 +9,7 @@
 use wire::{Candidate, Candidates, Header, Hints, Notice, Segment};
 
 use crate::directory::{self, Directory};
+use crate::link::Link;
 use crate::openings::{Opening, Openings};
 use crate::settings::DispatchSettings;
 use crate::suspects::Suspects;
@@ -43,6 +44,8 @@
     NoMember,
     /// The source is an address of a route.
     OwnSource,
+    /// The link has as many bulk transfers as it can take.
+    LinkFull,
 }
 
 /// Owners, SYNs without one, and agents to avoid.
@@ -56,6 +59,7 @@
     owners: Owners<(ServiceId, Candidate)>,
     openings: Openings,
     suspects: Suspects,
+    link: Link,
 }
 
 impl Dispatch {
@@ -74,6 +78,7 @@
             owners: Owners::new(settings.owners, settings.owner_ttl),
             openings: Openings::default(),
             suspects: Suspects::new(settings.failures, settings.avoid),
+            link: Link::new(settings.link.clone()),
             settings,
         }
     }
@@ -102,6 +107,7 @@
                 Err(reason) => Action::Drop(reason),
             });
         } else {
+            self.link.follow(now, segment);
             self.follow(now, directory, &segment.flow, out);
         }
     }
@@ -178,6 +184,9 @@
         if let Some(opening) = self.openings.get(&flow) {
             return Ok(opening.header);
         }
+        if !self.link.admit(now, &flow) {
+            return Err(DropReason::LinkFull);
+        }
         let service = directory::pick(route, &flow).ok_or(DropReason::NoMember)?;
         let steering = directory.steering(service).ok_or(DropReason::NoMember)?;
         let candidates = steering.current().opening(flow.hash(), &self.centre);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod directory;
 mod dispatch;
+mod link;
 mod openings;
 mod settings;
 mod suspects;
 
 pub use directory::Directory;
 pub use dispatch::{Action, Dispatch, DropReason};
+pub use link::LinkSettings;
 pub use settings::DispatchSettings;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::LinkSettings;
+
 /// Limits and times.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DispatchSettings {
@@ -22,6 +24,8 @@
     pub failures: u8,
     /// Time for which it is avoided.
     pub avoid: Duration,
+    /// Link of this balancer.
+    pub link: LinkSettings,
 }
 
 impl Default for DispatchSettings {
@@ -35,6 +39,7 @@
             owner_ttl: Duration::from_secs(60),
             failures: 2,
             avoid: Duration::from_secs(1),
+            link: LinkSettings::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/all/common.rs
@@ -0,0 +1,197 @@
+//! A balancer between stand-ins.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use api::{
+    Member, MemberState, RouteView, ServiceView, Table, TableUpdate, TargetView, WatchReply,
+};
+use dispatch::{Action, Directory, Dispatch, DispatchSettings};
+use tokio::time::Instant;
+use units::{DataCentre, Epoch, Flow, Incarnation, Millis, ServiceId, Slots, Version, Weight};
+use watcher::View;
+use wire::{Candidate, Header, Load, Notice, Segment};
+
+pub const SERVICE: ServiceId = ServiceId(1);
+pub const OTHER: ServiceId = ServiceId(2);
+
+pub fn centre(name: &str) -> DataCentre {
+    name.parse().unwrap()
+}
+
+pub fn address(number: u8) -> SocketAddrV4 {
+    format!("10.0.0.{number}:7000").parse().unwrap()
+}
+
+pub fn member(number: u8, place: &str) -> Member {
+    Member {
+        host: format!("h-{number}").parse().unwrap(),
+        incarnation: Incarnation(u64::from(number)),
+        packets: address(number),
+        http: address(number),
+        centre: centre(place),
+        slots: Slots(2),
+        weight: Weight(100),
+        state: MemberState::Serving,
+    }
+}
+
+pub fn candidate(number: u8) -> Candidate {
+    Candidate {
+        address: address(number),
+        incarnation: Incarnation(u64::from(number)),
+    }
+}
+
+pub fn service(id: ServiceId) -> ServiceView {
+    let profile = r#"{"name":"p","protocol":"opaque"}"#;
+    let text = format!(r#"{{"name":"s-{id}","tenant":"t","profile":"p"}}"#);
+    ServiceView {
+        id,
+        service: serde_json::from_str(&text).unwrap(),
+        profile: serde_json::from_str(profile).unwrap(),
+        version: Version(1),
+    }
+}
+
+pub fn table(id: ServiceId, epoch: u64, members: Vec<Member>) -> TableUpdate {
+    TableUpdate::Snapshot(Table {
+        service: id,
+        epoch: Epoch(epoch),
+        changed: Millis(0),
+        members,
+    })
+}
+
+pub fn route(port: u16, targets: &[(ServiceId, u32)], former: &[ServiceId]) -> RouteView {
+    let target = |(service, weight): &(ServiceId, u32)| TargetView {
+        service: *service,
+        weight: *weight,
+    };
+    RouteView {
+        address: SocketAddrV4::new([198, 18, 0, 1].into(), port),
+        targets: targets.iter().map(target).collect(),
+        former: former.to_vec(),
+        latency_ms: Millis(100),
+        priority: 1,
+    }
+}
+
+/// Services 1 (members 1 to 5 in two data centres) and 2 (members 11 and 12).
+pub fn view(routes: Vec<RouteView>) -> View {
+    let members = [(1, "a"), (2, "a"), (3, "a"), (4, "b"), (5, "b")];
+    let members = members.map(|(n, place)| member(n, place)).to_vec();
+    let others = vec![member(11, "a"), member(12, "b")];
+    let reply = WatchReply {
+        config: Version(1),
+        services: vec![service(SERVICE), service(OTHER)],
+        tables: vec![table(SERVICE, 2, members), table(OTHER, 2, others)],
+        routes,
+        whole: true,
+        index: 1,
+        ..WatchReply::default()
+    };
+    View::default().updated(&reply, Instant::now()).unwrap()
+}
+
+pub fn directory(routes: Vec<RouteView>) -> Directory {
+    Directory::default().updated(&view(routes))
+}
+
+pub struct Rig {
+    pub dispatch: Dispatch,
+    pub directory: Directory,
+    pub now: Instant,
+}
+
+impl Rig {
+    pub fn new(routes: Vec<RouteView>) -> Self {
+        Self::with(DispatchSettings::default(), routes)
+    }
+
+    pub fn with(settings: DispatchSettings, routes: Vec<RouteView>) -> Self {
+        let now = Instant::now();
+        let me = "10.9.9.9:7100".parse().unwrap();
+        Self {
+            dispatch: Dispatch::new(settings, me, centre("a"), now),
+            directory: directory(routes),
+            now: now + Duration::from_secs(10),
+        }
+    }
+
+    pub fn packet(&mut self, segment: &Segment) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.dispatch
+            .packet(self.now, &self.directory, true, segment, b"syn", &mut out);
+        out
+    }
+
+    pub fn sent(&mut self, segment: &Segment) -> Header {
+        match self.packet(segment)[..] {
+            [Action::Send(header)] => header,
+            ref other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn notice(&mut self, owner: u8, flow: Flow) {
+        let notice = Notice {
+            service: SERVICE,
+            flows: vec![flow],
+            owner: candidate(owner),
+            load: Load::default(),
+        };
+        self.dispatch.notice(self.now, &notice);
+    }
+
+    /// SYNs that are due after some time, with their headers.
+    pub fn after(&mut self, ms: u64) -> Vec<Header> {
+        self.now += Duration::from_millis(ms);
+        let mut out = Vec::new();
+        self.dispatch.tick(self.now, &mut out);
+        let header = |action| match action {
+            Action::Resend { header, inner, .. } => {
+                assert_eq!(&*inner, b"syn");
+                header
+            }
+            other => panic!("{other:?}"),
+        };
+        out.into_iter().map(header).collect()
+    }
+}
+
+pub fn flow(caller: u16, port: u16) -> Flow {
+    format!("10.1.0.1:{caller}>198.18.0.1:{port}")
+        .parse()
+        .unwrap()
+}
+
+pub fn syn(flow: Flow) -> Segment {
+    Segment {
+        flow,
+        syn: true,
+        ack: false,
+        fin: false,
+        rst: false,
+        seq: 1,
+        ack_number: 0,
+        payload: 0,
+        ttl: 9,
+    }
+}
+
+pub fn data(flow: Flow) -> Segment {
+    Segment {
+        syn: false,
+        ack: true,
+        payload: 10,
+        ..syn(flow)
+    }
+}
+
+pub fn places(header: &Header) -> Vec<u8> {
+    header
+        .candidates
+        .iter()
+        .map(|c| c.address.ip().octets()[3])
+        .collect()
+}
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -114,7 +114,7 @@
 pub enum Timing {
     /// From the delivery of a SYN to the backend server's SYN-ACK.
     SynAnswer,
-    /// From the first packet of a request to the first of its answer.
+    /// From the last packet of a request to the first of its answer.
     Request,
 }
 
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -11,7 +11,8 @@
 use wire::{Candidate, Load, Notice};
 
 use crate::balance::Siblings;
-use crate::held::{Busy, Held};
+use crate::held::{Held, Part};
+use crate::occupancy::{Busy, Occupancy};
 use crate::pending::{Offers, Waiting};
 use crate::waitlist::Waitlist;
 use crate::{Action, Backend, Event, ForwardSettings, Reason, Timing};
@@ -50,8 +51,7 @@
     pub(crate) held: HashMap<Flow, Held>,
     /// Flows that are open here.
     pub(crate) open: u32,
-    /// Flows with a request in progress.
-    pub(crate) busy: u16,
+    pub(crate) occupancy: Occupancy,
     pub(crate) redirects: Owners<Candidate>,
     pub(crate) offers: Offers,
     pub(crate) waiting: Waiting,
@@ -82,7 +82,7 @@
             siblings: Siblings::default(),
             held: HashMap::new(),
             open: 0,
-            busy: 0,
+            occupancy: Occupancy::default(),
             redirects: Owners::new(settings.redirects, settings.redirect_ttl),
             offers: Offers::new(settings.returned),
             waiting: Waiting::new(),
@@ -149,7 +149,7 @@
         let slots = self.backend.map_or(0, |backend| backend.slots);
         let waiting = u16::try_from(self.waitlist.len()).unwrap_or(u16::MAX);
         Load {
-            busy: self.busy.saturating_add(waiting),
+            busy: self.occupancy.slots().saturating_add(waiting),
             slots: if self.accepts() { slots } else { 0 },
             open: self.open,
         }
@@ -244,7 +244,7 @@
         let mut held: Vec<_> = self.held.drain().collect();
         // The map's order is random.
         held.sort_unstable_by_key(|(flow, _)| *flow);
-        self.busy = 0;
+        self.occupancy.clear();
         self.open = 0;
         for (flow, held) in held {
             if held.established && held.ended.is_none() {
@@ -275,24 +275,42 @@
         }
     }
 
-    /// Notes that a flow has a request in progress, or a slot kept for one.
+    /// Notes what a flow does with the backend server.
     pub(crate) fn begin(&mut self, flow: &Flow, busy: Busy) {
-        if let Some(held) = self.held.get_mut(flow)
-            && held.busy.replace(busy).is_none()
-        {
-            self.busy = self.busy.saturating_add(1);
+        if let Some(held) = self.held.get_mut(flow) {
+            let before = held.busy.replace(busy);
+            self.occupancy.change(before, Some(busy));
         }
     }
 
     /// Notes that a flow has no request in progress.
     pub(crate) fn finish(&mut self, flow: &Flow) {
-        if let Some(held) = self.held.get_mut(flow)
-            && held.busy.take().is_some()
-        {
-            self.busy = self.busy.saturating_sub(1);
+        if let Some(held) = self.held.get_mut(flow) {
+            let before = held.busy.take();
+            self.occupancy.change(before, None);
         }
     }
 
+    /// Notes that a part of a request arrived.
+    pub(crate) fn progress(&mut self, now: Instant, flow: &Flow, part: Part) {
+        let Some(held) = self.held.get_mut(flow) else {
+            return;
+        };
+        let next = match (held.busy, part) {
+            (Some(Busy::Receiving(_)), Part::Full) => return,
+            (Some(Busy::Receiving(since)), Part::Last) => {
+                let time = now.saturating_duration_since(since);
+                held.long = true;
+                self.occupancy.received(time);
+                Busy::Working(now)
+            }
+            (Some(Busy::Working(_)), Part::Last) => return,
+            (_, Part::Full) => Busy::Receiving(now),
+            (_, Part::Last) => Busy::Working(now),
+        };
+        self.begin(flow, next);
+    }
+
     /// Holds a flow from now on.
     pub(crate) fn hold(&mut self, flow: Flow, now: Instant) -> &mut Held {
         self.redirects.remove(&flow);
--- a/crates/forwarding/src/held.rs
+++ b/crates/forwarding/src/held.rs
@@ -7,18 +7,19 @@
 use units::DataCentre;
 use wire::{Candidate, Segment};
 
+use crate::occupancy::Busy;
 use crate::pending::Pending;
 
 /// Receivers of notices that the limit remembers; notices to more wait.
 const RECEIVERS: usize = 3;
 
-/// Why a flow counts as busy, and since when.
+/// Part of a request that a segment brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Busy {
-    /// Accepted; its request is expected at once.
-    Reserved(Instant),
-    /// The backend server has a request without an answer.
-    Working(Instant),
+pub(crate) enum Part {
+    /// More follows: the segment is full.
+    Full,
+    /// Its end, as far as can be seen from outside.
+    Last,
 }
 
 /// A flow held here.
@@ -35,8 +36,10 @@
     pub(crate) repeats: u8,
     /// Last packet.
     pub(crate) seen: Instant,
-    /// Request in progress, or the slot kept for the first one.
+    /// Request in progress, or the slot kept for the first one; changed by [`crate::Forwarder`] only.
     pub(crate) busy: Option<Busy>,
+    /// Whether its last request took more than one packet.
+    pub(crate) long: bool,
     /// Time of its end: both sides finished, or one gave up.
     pub(crate) ended: Option<Instant>,
     /// SYN without an answer.
@@ -62,6 +65,7 @@
             repeats: 0,
             seen: now,
             busy: None,
+            long: false,
             ended: None,
             pending: None,
             acked: 0,
@@ -83,8 +87,8 @@
         expected == Some(segment.ack_number)
     }
 
-    /// Takes a caller's segment that fits; returns whether it starts a request.
-    pub(crate) fn inbound(&mut self, now: Instant, segment: &Segment) -> bool {
+    /// Takes a caller's segment that fits; returns the part of a request that is new in it.
+    pub(crate) fn inbound(&mut self, now: Instant, segment: &Segment, full: usize) -> Option<Part> {
         self.seen = now;
         if segment.ack {
             self.established = !segment.rst;
@@ -95,8 +99,12 @@
         }
         self.caller_fin |= segment.fin;
         self.note_end(now);
-        let starts = segment.payload > 0 && is_new(&mut self.caller_end, segment);
-        starts && self.ended.is_none()
+        let new = segment.payload > 0 && is_new(&mut self.caller_end, segment);
+        (new && self.ended.is_none()).then_some(if segment.payload < full {
+            Part::Last
+        } else {
+            Part::Full
+        })
     }
 
     /// Takes a segment of the backend server; returns whether it answers a request.
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -23,6 +23,7 @@
 mod forwarder;
 mod held;
 mod homes;
+mod occupancy;
 mod outbound;
 mod packet;
 mod pending;
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -3,7 +3,7 @@
 use tokio::time::Instant;
 use wire::Segment;
 
-use crate::held::Busy;
+use crate::occupancy::Busy;
 use crate::{Action, DropReason, Forwarder, Reason, Timing};
 
 impl Forwarder {
@@ -37,6 +37,9 @@
             if let Some(Busy::Working(since)) = held.busy {
                 let time = now.saturating_duration_since(since);
                 self.times.push((Timing::Request, time));
+                if std::mem::take(&mut held.long) {
+                    self.occupancy.worked(time);
+                }
             }
             self.finish(&flow);
         }
--- a/crates/forwarding/src/packet.rs
+++ b/crates/forwarding/src/packet.rs
@@ -5,7 +5,6 @@
 use wire::{Flags, Header, Segment};
 
 use crate::forwarder::Other;
-use crate::held::Busy;
 use crate::{Action, DropReason, Forwarder, Reason};
 
 /// The packet looks for its flow at agents beyond the balancer's list.
@@ -72,7 +71,7 @@
             return;
         };
         let (before, established) = (held.ended.is_some(), held.established);
-        let starts = held.inbound(now, segment);
+        let part = held.inbound(now, segment, self.settings.full);
         let opened = held.established && !established;
         let known = header.hints.owned && header.hop == 0;
         let origin = header.hints.origin.filter(|_| !known && !segment.opens());
@@ -91,8 +90,8 @@
             let flows = vec![flow];
             out.push(Action::Notify { to, flows });
         }
-        if starts {
-            self.begin(&flow, Busy::Working(now));
+        if let Some(part) = part {
+            self.progress(now, &flow, part);
         }
         self.note_ended(&flow, before);
         if opened {
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -7,7 +7,7 @@
 use wire::{Candidate, Candidates, Flags, Header, Segment};
 
 use crate::forwarder::Other;
-use crate::held::Busy;
+use crate::occupancy::Busy;
 use crate::pending::Pending;
 use crate::waitlist::Waiting;
 use crate::{Action, DropReason, Forwarder, Reason};
@@ -129,7 +129,7 @@
     /// Whether the backend server has fewer requests than it can serve soon.
     fn has_place(&self) -> bool {
         let slots = self.backend.map_or(0, |backend| backend.slots);
-        self.busy < slots.saturating_mul(self.settings.depth)
+        self.occupancy.slots() < slots.saturating_mul(self.settings.depth)
     }
 
     fn here(&self) -> Place {
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -32,6 +32,8 @@
     pub busy_limit: Duration,
     /// Time for which an accepted flow keeps a slot until its request arrives.
     pub request_wait: Duration,
+    /// Payload bytes of a full segment; a shorter one ends a request.
+    pub full: usize,
     /// Requests per slot that the backend server is given; further SYNs wait for a place.
     pub depth: u16,
     /// Longest wait of a SYN for a place, in times of the latency that its route wants; then its
@@ -59,6 +61,7 @@
             load_fanout: 16,
             busy_limit: Duration::from_secs(2),
             request_wait: Duration::from_millis(100),
+            full: 1_200,
             depth: 2,
             patience: 2,
             most_patience: Duration::from_secs(1),
--- a/crates/forwarding/src/sweep.rs
+++ b/crates/forwarding/src/sweep.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 use units::Flow;
 
-use crate::held::Busy;
+use crate::occupancy::Busy;
 use crate::placing::overloaded;
 use crate::{Action, Forwarder};
 
--- a/crates/forwarding/tests/all/main.rs
+++ b/crates/forwarding/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod lost;
 mod placement;
 mod siblings;
+mod transfers;
 mod waiting;
--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -89,6 +89,10 @@
             incarnation,
         };
         let (changes, receiver) = mpsc::channel(CHANGES);
+        let forward = ForwardSettings {
+            full: codec.full,
+            ..ForwardSettings::default()
+        };
         let worker = Packets {
             codec,
             key,
@@ -98,7 +102,7 @@
             outbound,
             backend: settings.backend.into(),
             callers: settings.packets.port(),
-            forwarder: Forwarder::new(ForwardSettings::default(), me, Instant::now()),
+            forwarder: Forwarder::new(forward, me, Instant::now()),
             shared: Arc::clone(&shared),
             service: None,
             known: None,
--- a/crates/opaque/src/balancer/mod.rs
+++ b/crates/opaque/src/balancer/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use api::{Role, Scope};
-use dispatch::{Directory, Dispatch, DispatchSettings};
+use dispatch::{Directory, Dispatch, DispatchSettings, LinkSettings};
 use rpc::{Client, Key};
 use slog::{Logger, info};
 use startup::Telemetry;
@@ -63,8 +63,17 @@
         let (directory_out, directory) = watch::channel(Arc::new(Directory::default()));
         tokio::spawn(follow(watcher.view(), directory_out, log.clone()));
         let stats = Arc::new(BalancerStats::default());
+        let link = LinkSettings {
+            rate: (settings.link_mbps.unwrap_or(0.0) * 125_000.0) as u64,
+            full: codec.full,
+            window: codec.window,
+            ..LinkSettings::default()
+        };
         let dispatch = Dispatch::new(
-            DispatchSettings::default(),
+            DispatchSettings {
+                link,
+                ..DispatchSettings::default()
+            },
             settings.notices,
             settings.identity.centre.clone(),
             Instant::now(),
--- a/crates/opaque/src/balancer/settings.rs
+++ b/crates/opaque/src/balancer/settings.rs
@@ -14,6 +14,9 @@
     pub identity: Identity,
     /// UDP address for callers' packets; callers take packets at the same port.
     pub packets: SocketAddrV4,
+    /// Rate of this VM's link in Mbit/s; without it, bulk transfers are not limited.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// UDP address for notices of agents.
     pub notices: SocketAddrV4,
 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -16,6 +16,10 @@
 /// Packet format of an environment; the flows are the same everywhere.
 #[derive(Debug, Clone, Copy)]
 pub struct Codec {
+    /// Payload bytes of a full segment; a sender with more to send fills its segments.
+    pub full: usize,
+    /// Bytes that a sender has in flight at most, heads included.
+    pub window: u64,
     /// Reads a caller's packet.
     pub inbound: fn(&[u8]) -> Result<Segment, PacketError>,
     /// Reads a packet of a backend server.
