Repeat first questions to control while earlier ones are open

Change: a first question is repeated every 60 ms while earlier ones are open, at most six to one replica. Ruled out: a shorter time limit for connections, which would shut out replicas of other regions.

Tests: watcher::first (3: a replica that starts is found within a gap, bounds).

--- a/crates/watcher/src/lib.rs
+++ b/crates/watcher/src/lib.rs
@@ -6,6 +6,7 @@
 //! of reach the last view stays in force for as long as that lasts.
 
 mod beat;
+mod first;
 mod peers;
 mod poll;
 mod replicas;
@@ -22,6 +23,7 @@
 use tokio::time::Instant;
 use units::{DataCentre, HostName, Incarnation, Region};
 
+pub use first::hedge;
 pub use peers::Peers;
 pub use replicas::Replicas;
 pub use view::{EARLIER_TABLES, Tables, View};
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -1,6 +1,5 @@
 //! Long poll for tables and profiles.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,12 +7,11 @@
 use rpc::{Client, RpcError};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 use units::Millis;
 
 use crate::peers::Peers;
-use crate::{View, WatcherSettings};
+use crate::{View, WatcherSettings, first};
 
 /// Time allowed for the answer beyond the wait that was asked for. Wait and margin are what a
 /// replica that froze in the middle of a poll delays a change by; the next one answers at once.
@@ -25,18 +23,6 @@
 /// Shortest time between two answers that changed nothing.
 const IDLE: Duration = Duration::from_millis(100);
 
-/// Longest wait for the first answer of one replica.
-const FIRST_LIMIT: Duration = Duration::from_millis(600);
-
-/// Time between the first questions to two replicas.
-const APART: Duration = Duration::from_millis(20);
-
-/// Time between two first questions to one replica.
-const AGAIN: Duration = Duration::from_millis(60);
-
-/// Time after which the list of replicas is looked at again; changed settings may name others.
-const LIST_AGE: Duration = Duration::from_secs(2);
-
 /// Shortest time between two polls. Changes that come faster share an answer, so that a burst of them
 /// stays below 3 KB/s per node.
 const PACE: Duration = Duration::from_millis(500);
@@ -55,7 +41,7 @@
     // Log index that the view reflects.
     let mut index = 0;
     let message = request(&settings, &out.borrow(), index);
-    let (peer, reply) = first_answer(&peers, &client, &message).await;
+    let (peer, reply) = first::answer(&peers, &client, &message).await;
     peers.prefer(peer);
     let mut answered = Some(reply);
     loop {
@@ -112,49 +98,6 @@
     }
 }
 
-/// Asks each replica again and again until one answers: a process without a view is of no use, and
-/// a replica that is down must not delay the question to one that starts.
-async fn first_answer(peers: &Peers, client: &Client, message: &Watch) -> (SocketAddr, WatchReply) {
-    loop {
-        let mut calls = JoinSet::new();
-        for (turn, peer) in (0..).zip(peers.in_turn()) {
-            let (client, message) = (client.clone(), message.clone());
-            calls.spawn(async move {
-                sleep(APART * turn).await;
-                ask_until_answered(&client, peer, message).await
-            });
-        }
-        // Without replicas there is nothing to wait for but another list.
-        let first = async {
-            match calls.join_next().await {
-                Some(answer) => answer,
-                None => std::future::pending().await,
-            }
-        };
-        if let Ok(Ok(answer)) = timeout(LIST_AGE, first).await {
-            return answer;
-        }
-    }
-}
-
-async fn ask_until_answered(
-    client: &Client,
-    peer: SocketAddr,
-    message: Watch,
-) -> (SocketAddr, WatchReply) {
-    let message = Watch {
-        wait_ms: Millis(0),
-        ..message
-    };
-    loop {
-        match client.post(peer, path::WATCH, &message, FIRST_LIMIT).await {
-            Ok(reply) => return (peer, reply),
-            // Down, starting, or without anything to show.
-            Err(_) => sleep(AGAIN).await,
-        }
-    }
-}
-
 fn request(settings: &WatcherSettings, view: &View, index: u64) -> Watch {
     Watch {
         host: settings.host.clone(),
