Search flows in the data centre where they entered first

With 45 members the header's 16 places were full before the flow's own was searched.

Change: a search goes on in the data centre of the flow's home. A lookup names an agent once, although earlier tables name its earlier starts.

Tests: forwarding::lost, steering; both fail on the code before.

--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use units::Flow;
+use units::{DataCentre, Flow};
 use wire::{Candidate, Candidates, Flags, Header, Segment};
 
 use crate::forwarder::Other;
@@ -280,7 +280,7 @@
         self.lacking(flow, header, ACCEPT, |member| member.takes_work)
     }
 
-    /// Header for a member that the list lacks, those of the own data centre first.
+    /// Header for a member that the list lacks, those of the data centre where the flow entered first.
     pub(crate) fn lacking(
         &self,
         flow: &Flow,
@@ -288,14 +288,15 @@
         flags: Flags,
         counts: impl Fn(&Other) -> bool,
     ) -> Option<Header> {
-        let own = self.service.as_ref().map(|service| &service.centre);
+        let entry = self.entry(header);
         let visited = |candidate: &Candidate| {
             let mut all = header.candidates.iter();
             all.any(|known| known.address == candidate.address)
         };
         let members = self.members.iter().filter(|m| counts(m));
         let lacking = members.filter(|m| !visited(&m.candidate));
-        let (near, far): (Vec<_>, Vec<_>) = lacking.partition(|m| Some(&m.centre) == own);
+        let (near, far): (Vec<_>, Vec<_>) =
+            lacking.partition(|m| Some(&m.centre) == entry.as_ref());
         let choices = if near.is_empty() { far } else { near };
         // Spreads flows over the members.
         let at = flow.hash() as usize % choices.len().max(1);
@@ -311,6 +312,14 @@
         (header.candidates.len() > before).then(|| header.at(hop, flags))
     }
 
+    /// Data centre where a flow entered: that of its home, which an owner may stand before.
+    fn entry(&self, header: &Header) -> Option<DataCentre> {
+        let at = usize::from(header.hints.owned && header.candidates.len() > 1);
+        let home = header.candidates.get(at).copied();
+        home.and_then(|home| self.centre_of(home))
+            .or_else(|| Some(self.service.as_ref()?.centre.clone()))
+    }
+
     /// Sends a kept SYN on after the backend server declined it or did not answer.
     pub(crate) fn pass_pending(&self, flow: &Flow, pending: &Pending) -> Option<Header> {
         let mut header = pending.header;
--- a/crates/forwarding/tests/all/lost.rs
+++ b/crates/forwarding/tests/all/lost.rs
@@ -130,6 +130,23 @@
     assert_eq!(all, [1, 2, 3, 4, 5]);
 }
 
+/// Guards against a search that stays in the data centre of the agent at which the balancer's list
+/// happens to end: with 45 members, flows of others were not found before the header was full.
+#[test]
+fn a_search_begins_where_the_flow_entered() {
+    let mut rig = Rig::new();
+    let mut elsewhere = header(&[4, ME]);
+    elsewhere.hop = 1;
+    let next = rig.passed(&elsewhere, &data(flow(1), 900));
+    assert_eq!(target(&next), 5, "agents 4 and 5 share a data centre");
+    // The balancer took agent 2 for the owner; the home stands behind it.
+    let mut owned = header(&[2, 4, ME]);
+    owned.hop = 2;
+    owned.hints.owned = true;
+    let next = rig.passed(&owned, &data(flow(1), 900));
+    assert_eq!(target(&next), 5);
+}
+
 /// Guards against callers that wait for flows of a backend server that crashed and came back: they
 /// get a reset as soon as the agent knows, and later packets as well.
 #[test]
--- a/crates/steering/src/centres.rs
+++ b/crates/steering/src/centres.rs
@@ -137,6 +137,13 @@
     #[must_use]
     pub fn lookup(&self, hash: u64, centre: &DataCentre) -> Candidates {
         let homes = self.all().filter_map(|c| c.home(hash, centre));
-        homes.chain(self.current.elsewhere(hash, centre)).collect()
+        let mut found = Candidates::default();
+        for candidate in homes.chain(self.current.elsewhere(hash, centre)) {
+            // Earlier tables name earlier starts of the same agent.
+            if !found.iter().any(|known| known.address == candidate.address) {
+                found.push(candidate);
+            }
+        }
+        found
     }
 }
--- a/crates/steering/tests/steering.rs
+++ b/crates/steering/tests/steering.rs
@@ -7,7 +7,7 @@
 
 use api::{Member, MemberState, Table};
 use quickcheck::quickcheck;
-use steering::{CacheSettings, FlowCache, LOOKUP_PERIOD, Ranker, Slot, Steering};
+use steering::{CacheSettings, CentreSteering, FlowCache, LOOKUP_PERIOD, Ranker, Slot, Steering};
 use tokio::time::Instant;
 use units::{Epoch, Incarnation, Millis, ServiceId, Slots, Weight};
 
@@ -139,6 +139,22 @@
     assert!(!flags().lookup);
 }
 
+/// Guards against packets that visit an agent twice: earlier tables name its earlier starts.
+#[test]
+fn a_restarted_agent_is_looked_up_once() {
+    let earlier = table(1, 0..5);
+    let mut current = table(2, 0..5);
+    for member in &mut current.members {
+        member.incarnation = Incarnation(2);
+    }
+    let steering = CentreSteering::new(&current, [&earlier], None);
+    for n in 0..100 {
+        let found = steering.lookup(hash(n), &"dc-1".parse().unwrap());
+        assert_eq!(found.len(), 1, "{found:?}");
+        assert_eq!(found[0].incarnation, Incarnation(2));
+    }
+}
+
 #[test]
 fn knows_no_candidates_without_members() {
     let steering = Steering::new(&table(1, 0..0), [], Instant::now());
