Let a search visit every member, however many there are

Change: beyond the balancer's list a packet visits the members in the order of their addresses, from the flow's home on. The header carries where that began, how many were visited (128 at most) and a sum over them; the last agent compares the sum with its own members, so that the size of the service does not matter. A reset also needs a table as new as the newest on the way: an older one may lack the member that holds the flow. What placement and search need of the header has its own file.

Ruled out: a longer list (14 bytes a member in each packet), reports of what each agent holds (they lag, and a wrong reset breaks a flow).

Tests: forwarding::search (5, over 45 agents; the one of a search beyond the header's list fails before), wire (hints, order and sum). The former test of a search that visits every member is replaced: it let one agent play all members.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,6 +28,7 @@
 mod packet;
 mod pending;
 mod placing;
+mod search;
 mod settings;
 mod sweep;
 mod waitlist;
--- a/crates/forwarding/src/packet.rs
+++ b/crates/forwarding/src/packet.rs
@@ -1,18 +1,10 @@
 //! Packets of callers.
 
 use tokio::time::Instant;
-use units::Flow;
 use wire::{Flags, Header, Segment};
 
-use crate::forwarder::Other;
 use crate::{Action, DropReason, Forwarder, Reason};
 
-/// The packet looks for its flow at agents beyond the balancer's list.
-const SEARCH: Flags = Flags {
-    lookup: true,
-    accept: false,
-};
-
 impl Forwarder {
     pub(crate) fn packet(
         &mut self,
@@ -98,69 +90,4 @@
             self.register(now, &flow, out);
         }
     }
-
-    /// Decides on a packet of a flow that is not held here; not a SYN.
-    fn unknown(
-        &mut self,
-        now: Instant,
-        header: &Header,
-        segment: &Segment,
-        may_offer: bool,
-    ) -> Action {
-        let flow = segment.flow;
-        let returned = self.offers.was_returned(&flow);
-        let informed = header.is_informed() && may_offer;
-        if informed && returned && !segment.rst {
-            return Action::Reset {
-                flow,
-                seq: segment.ack_number,
-                reason: Reason::Lost,
-            };
-        }
-        let young = self.is_young(now);
-        let older = self.backend.is_some_and(|backend| backend.older && young);
-        let offers = informed || older && may_offer || header.hints.owned && older;
-        if offers && !returned && self.backend.is_some() {
-            self.offers.sent(flow, *header);
-            return Action::Deliver(Reason::Offer);
-        }
-        self.pass(header, segment, Reason::Unknown)
-    }
-
-    /// Whether flows may be open that this agent does not know.
-    fn is_young(&self, now: Instant) -> bool {
-        now < self.start + self.settings.flow_age
-    }
-
-    /// Sends a packet that is not a SYN to the next candidate, then to the members that the list
-    /// lacks. If every member is sure not to hold the flow, its caller gets a reset.
-    pub(crate) fn pass(&self, header: &Header, segment: &Segment, reason: Reason) -> Action {
-        let flow = segment.flow;
-        let mut header = *header;
-        header.hints.doubtful |= !self.is_sure(&flow);
-        if header.has_next() {
-            return Action::Forward(header.next(header.flags), reason);
-        }
-        if let Some(header) = self.lacking(&flow, &header, SEARCH, |_| true) {
-            return Action::Forward(header, reason);
-        }
-        let listed = |other: &Other| header.candidates.contains(&other.candidate);
-        let complete = self.members.iter().all(listed);
-        if header.hints.doubtful || !complete || segment.rst {
-            return Action::Drop(DropReason::Unknown);
-        }
-        Action::Reset {
-            flow,
-            seq: segment.ack_number,
-            reason: Reason::NotHeld,
-        }
-    }
-
-    /// Whether the backend server surely does not hold a flow that is not known here.
-    fn is_sure(&self, flow: &Flow) -> bool {
-        let known = self.backend.is_some_and(|backend| !backend.older);
-        // A copy of the flow's SYN opened another flow there, which this packet doesn't fit.
-        let copy = self.held.get(flow).is_some_and(|h| h.initial_seq.is_some());
-        known || copy || self.offers.was_returned(flow)
-    }
 }
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -6,7 +6,6 @@
 use units::{DataCentre, Flow};
 use wire::{Candidate, Candidates, Flags, Header, Segment};
 
-use crate::forwarder::Other;
 use crate::occupancy::Busy;
 use crate::pending::Pending;
 use crate::waitlist::Waiting;
@@ -272,28 +271,18 @@
         next.map_or(Place::Nowhere, |header| Place::There(header, reason))
     }
 
-    /// Header for a candidate that the SYN has not visited, from the list or from the own table.
+    /// Header for a candidate that the SYN has not visited, from the list or from the own table; members
+    /// of the data centre where the flow entered go first.
     fn extended(&self, flow: &Flow, header: &Header) -> Option<Header> {
         if header.flags.accept && header.has_next() {
             return Some(header.next(ACCEPT));
         }
-        self.lacking(flow, header, ACCEPT, |member| member.takes_work)
-    }
-
-    /// Header for a member that the list lacks, those of the data centre where the flow entered first.
-    pub(crate) fn lacking(
-        &self,
-        flow: &Flow,
-        header: &Header,
-        flags: Flags,
-        counts: impl Fn(&Other) -> bool,
-    ) -> Option<Header> {
         let entry = self.entry(header);
         let visited = |candidate: &Candidate| {
             let mut all = header.candidates.iter();
             all.any(|known| known.address == candidate.address)
         };
-        let members = self.members.iter().filter(|m| counts(m));
+        let members = self.members.iter().filter(|member| member.takes_work);
         let lacking = members.filter(|m| !visited(&m.candidate));
         let (near, far): (Vec<_>, Vec<_>) =
             lacking.partition(|m| Some(&m.centre) == entry.as_ref());
@@ -309,13 +298,12 @@
             candidates,
             ..*header
         };
-        (header.candidates.len() > before).then(|| header.at(hop, flags))
+        (header.candidates.len() > before).then(|| header.at(hop, ACCEPT))
     }
 
     /// Data centre where a flow entered: that of its home, which an owner may stand before.
     fn entry(&self, header: &Header) -> Option<DataCentre> {
-        let at = usize::from(header.hints.owned && header.candidates.len() > 1);
-        let home = header.candidates.get(at).copied();
+        let home = header.home();
         home.and_then(|home| self.centre_of(home))
             .or_else(|| Some(self.service.as_ref()?.centre.clone()))
     }
--- /dev/null
+++ b/crates/forwarding/src/search.rs
@@ -0,0 +1,126 @@
+//! Search of flows whose owner is not known.
+//!
+//! A packet visits the balancer's list, then every member in the order of
+//! their addresses, beginning at the flow's home. Each visit is added to a sum,
+//! so that the last agent knows whether every member was visited, however many
+//! there are.
+
+use std::net::SocketAddrV4;
+
+use tokio::time::Instant;
+use units::Flow;
+use wire::{Candidate, Candidates, Flags, Header, MAX_CANDIDATES, Segment, Sweep};
+
+use crate::{Action, DropReason, Forwarder, Reason};
+
+/// The packet looks for its flow at agents beyond the balancer's list.
+const SEARCH: Flags = Flags {
+    lookup: true,
+    accept: false,
+};
+
+impl Forwarder {
+    /// Decides on a packet of a flow that is not held here; not a SYN.
+    pub(crate) fn unknown(
+        &mut self,
+        now: Instant,
+        header: &Header,
+        segment: &Segment,
+        may_offer: bool,
+    ) -> Action {
+        let flow = segment.flow;
+        let returned = self.offers.was_returned(&flow);
+        let informed = header.is_informed() && may_offer;
+        if informed && returned && !segment.rst {
+            return Action::Reset {
+                flow,
+                seq: segment.ack_number,
+                reason: Reason::Lost,
+            };
+        }
+        let young = self.is_young(now);
+        let older = self.backend.is_some_and(|backend| backend.older && young);
+        let offers = informed || older && may_offer || header.hints.owned && older;
+        if offers && !returned && self.backend.is_some() {
+            self.offers.sent(flow, *header);
+            return Action::Deliver(Reason::Offer);
+        }
+        self.pass(header, segment, Reason::Unknown)
+    }
+
+    /// Whether flows may be open that this agent does not know.
+    fn is_young(&self, now: Instant) -> bool {
+        now < self.start + self.settings.flow_age
+    }
+
+    /// Sends a packet that is not a SYN to the next candidate, then to every member. If each is sure
+    /// not to hold the flow, its caller gets a reset.
+    pub(crate) fn pass(&self, header: &Header, segment: &Segment, reason: Reason) -> Action {
+        let flow = segment.flow;
+        let mut header = *header;
+        header.hints.doubtful |= !self.is_sure(&flow);
+        if !header.is_redirected() {
+            header.epoch.0 = header.epoch.0.max(self.epoch());
+        }
+        if header.hints.sweep.is_none() && header.has_next() {
+            return Action::Forward(header.next(header.flags), reason);
+        }
+        let Some(home) = header.home() else {
+            return Action::Drop(DropReason::Unknown);
+        };
+        // The balancer's list; in a sweep the member addressed stands behind it.
+        let mut list = header.candidates;
+        let sweep = match header.hints.sweep {
+            Some(sweep) => {
+                list.pop();
+                sweep.visited(self.me.address)
+            }
+            None => Sweep::new(home.address),
+        };
+        list.truncate(MAX_CANDIDATES - 1);
+        if let Some(next) = self.next_in(&sweep, &header, &list) {
+            let hop = list.len();
+            list.push(next);
+            header.candidates = list;
+            header.hints.sweep = Some(sweep);
+            let hop = u8::try_from(hop).unwrap_or(u8::MAX);
+            return Action::Forward(header.at(hop, SEARCH), reason);
+        }
+        let members = self.members.iter().map(|member| member.candidate.address);
+        let all = members.chain([self.me.address]);
+        // An agent with an older table may lack the member that holds the flow.
+        let complete = self.epoch() >= header.epoch.0
+            && sweep.covers(all.filter(|member| !is_listed(&list, *member)));
+        if header.hints.doubtful || !complete || segment.rst {
+            return Action::Drop(DropReason::Unknown);
+        }
+        Action::Reset {
+            flow,
+            seq: segment.ack_number,
+            reason: Reason::NotHeld,
+        }
+    }
+
+    /// Member that a sweep visits next.
+    fn next_in(&self, sweep: &Sweep, header: &Header, list: &Candidates) -> Option<Candidate> {
+        let here = header.hints.sweep.map(|_| sweep.place(self.me.address));
+        let follows =
+            |member: &Candidate| here.is_none_or(|here| sweep.place(member.address) > here);
+        let members = self.members.iter().map(|member| member.candidate);
+        let left = members.filter(|m| follows(m) && !is_listed(list, m.address));
+        let next = left.min_by_key(|member| sweep.place(member.address))?;
+        (sweep.visits < self.settings.sweep).then_some(next)
+    }
+
+    /// Whether the backend server surely does not hold a flow that is not known here.
+    fn is_sure(&self, flow: &Flow) -> bool {
+        let known = self.backend.is_some_and(|backend| !backend.older);
+        // A copy of the flow's SYN opened another flow there, which this packet doesn't fit.
+        let copy = self.held.get(flow).is_some_and(|h| h.initial_seq.is_some());
+        known || copy || self.offers.was_returned(flow)
+    }
+}
+
+fn is_listed(list: &Candidates, member: SocketAddrV4) -> bool {
+    list.iter().any(|listed| listed.address == member)
+}
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -20,6 +20,8 @@
     pub redirects: usize,
     /// Time after which an unused redirect expires.
     pub redirect_ttl: Duration,
+    /// Members that the search of a flow visits beyond the balancer's list.
+    pub sweep: u8,
     /// Flows remembered that the backend server returned.
     pub returned: usize,
     /// Age above which a sibling's load is not used.
@@ -55,6 +57,7 @@
             notice: Duration::from_secs(1),
             redirects: 65_536,
             redirect_ttl: Duration::from_secs(120),
+            sweep: 128,
             returned: 4_096,
             load_ttl: Duration::from_secs(2),
             load_interval: Duration::from_millis(250),
--- a/crates/forwarding/tests/all/common.rs
+++ b/crates/forwarding/tests/all/common.rs
@@ -173,7 +173,18 @@
     }
 
     pub fn with(backend: Backend, members: Vec<Member>) -> Self {
+        Self::at(ME, backend, members)
+    }
+
+    /// Any agent of the table.
+    pub fn at(number: u8, backend: Backend, members: Vec<Member>) -> Self {
         let mut rig = Self::bare();
+        rig.agent = Forwarder::new(
+            ForwardSettings::default(),
+            candidate(number),
+            rig.now - Duration::from_secs(10),
+        );
+        rig.serve_as("a");
         rig.event(Event::Backend(Some(backend)));
         rig.event(Event::Table(&table(2, members)));
         rig
@@ -187,13 +198,18 @@
             agent: Forwarder::new(settings, candidate(ME), start),
             now: start + Duration::from_secs(10),
         };
-        rig.event(Event::Service {
+        rig.serve_as("a");
+        rig
+    }
+
+    /// Tells the agent its service and data centre.
+    fn serve_as(&mut self, place: &str) {
+        self.event(Event::Service {
             id: SERVICE,
-            centre: centre("a"),
+            centre: centre(place),
             limit: 100,
             idle: Duration::from_secs(30),
         });
-        rig
     }
 
     pub fn event(&mut self, event: Event<'_>) -> Vec<Action> {
--- a/crates/forwarding/tests/all/lost.rs
+++ b/crates/forwarding/tests/all/lost.rs
@@ -4,7 +4,7 @@
 use wire::{Flags, Header, Segment};
 
 use crate::common::{
-    ME, Rig, backend, candidate, data, flow, header, load, members, places, syn, syn_ack, target,
+    ME, Rig, backend, candidate, data, flow, header, load, members, syn, syn_ack, target,
 };
 
 fn older() -> Backend {
@@ -107,46 +107,6 @@
     assert!(matches!(action, Action::Reset { reason: r, .. } if r == reason));
 }
 
-/// Guards against a search that ends at the balancer's list: every member is asked, those of the
-/// own data centre first.
-#[test]
-fn a_search_visits_every_member() {
-    let mut rig = Rig::new();
-    let mut at = header(&[ME]);
-    for expected in [2, 3, 4, 5] {
-        at = rig.passed(&at, &data(flow(1), 900));
-        assert_eq!(
-            at.flags,
-            Flags {
-                lookup: true,
-                accept: false
-            }
-        );
-        let near = target(&at) <= 3;
-        assert_eq!(near, expected <= 3);
-    }
-    let mut all = places(&at);
-    all.sort_unstable();
-    assert_eq!(all, [1, 2, 3, 4, 5]);
-}
-
-/// Guards against a search that stays in the data centre of the agent at which the balancer's list
-/// happens to end: with 45 members, flows of others were not found before the header was full.
-#[test]
-fn a_search_begins_where_the_flow_entered() {
-    let mut rig = Rig::new();
-    let mut elsewhere = header(&[4, ME]);
-    elsewhere.hop = 1;
-    let next = rig.passed(&elsewhere, &data(flow(1), 900));
-    assert_eq!(target(&next), 5, "agents 4 and 5 share a data centre");
-    // The balancer took agent 2 for the owner; the home stands behind it.
-    let mut owned = header(&[2, 4, ME]);
-    owned.hop = 2;
-    owned.hints.owned = true;
-    let next = rig.passed(&owned, &data(flow(1), 900));
-    assert_eq!(target(&next), 5);
-}
-
 /// Guards against callers that wait for flows of a backend server that crashed and came back: they
 /// get a reset as soon as the agent knows, and later packets as well.
 #[test]
--- a/crates/forwarding/tests/all/main.rs
+++ b/crates/forwarding/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod flows;
 mod lost;
 mod placement;
+mod search;
 mod siblings;
 mod transfers;
 mod waiting;
--- /dev/null
+++ b/crates/forwarding/tests/all/search.rs
@@ -0,0 +1,171 @@
+//! Searches over all members of a service.
+
+use std::collections::BTreeMap;
+
+use api::Member;
+use forwarding::{Action, Backend, DropReason, Event, Reason};
+use units::Flow;
+use wire::{Flags, Header};
+
+use crate::common::{Rig, address, backend, data, flow, header, member, table, target};
+
+/// Members of a service, a fifth in each of five data centres.
+const MEMBERS: u8 = 45;
+
+/// A service with an agent for each member.
+struct Agents(BTreeMap<u8, Rig>);
+
+impl Agents {
+    fn new(backend: &Backend) -> Self {
+        let rig = |n| (n, Rig::at(n, *backend, members()));
+        Self((1..=MEMBERS).map(rig).collect())
+    }
+
+    fn at(&mut self, number: u8) -> &mut Rig {
+        self.0.get_mut(&number).unwrap()
+    }
+
+    /// Sends a packet of a flow from the balancer; the agents that saw it, and what ended its way.
+    /// Backend servers return what they are offered, but for the one that holds the flow.
+    fn send(&mut self, header: &Header, flow: Flow, holder: Option<u8>) -> (Vec<u8>, Action) {
+        let (mut seen, mut header) = (Vec::new(), *header);
+        loop {
+            let number = target(&header);
+            seen.push(number);
+            let rig = self.at(number);
+            let mut action = rig.first(&header, &data(flow, 900));
+            if action == Action::Deliver(Reason::Offer) && holder != Some(number) {
+                action = rig.returned(&data(flow, 900)).remove(0);
+            }
+            match action {
+                Action::Forward(next, _) => header = next,
+                last => return (seen, last),
+            }
+            assert!(
+                seen.len() <= 2 * usize::from(MEMBERS),
+                "goes round: {seen:?}"
+            );
+        }
+    }
+}
+
+fn members() -> Vec<Member> {
+    let places = ["a", "b", "c", "d", "e"];
+    let place = |n: u8| places[usize::from(n - 1) * places.len() / usize::from(MEMBERS)];
+    (1..=MEMBERS).map(|n| member(n, place(n))).collect()
+}
+
+/// A balancer's list: the home 20, and agents of other data centres.
+fn list() -> Header {
+    header(&[20, 3, 12, 40])
+}
+
+fn not_held(flow: Flow) -> Action {
+    Action::Reset {
+        flow,
+        seq: 901,
+        reason: Reason::NotHeld,
+    }
+}
+
+/// Backend server that started before its agent.
+fn older() -> Backend {
+    Backend {
+        older: true,
+        ..backend()
+    }
+}
+
+/// Guards against a search that ends before the flow's own agent is asked: after all agents were
+/// killed, 700 requests waited for their deadlines within two seconds.
+#[test]
+fn a_flow_is_found_at_any_member() {
+    for holder in 1..=MEMBERS {
+        let mut agents = Agents::new(&older());
+        let (seen, last) = agents.send(&list(), flow(1), Some(holder));
+        assert_eq!(last, Action::Deliver(Reason::Offer), "{holder}: {seen:?}");
+        assert_eq!(seen.last(), Some(&holder));
+    }
+}
+
+/// Guards against agents that see a packet twice, and against a search that leaves the data centre
+/// of the flow's home before it is over there.
+#[test]
+fn a_search_visits_every_member_once_from_the_home_on() {
+    let mut agents = Agents::new(&backend());
+    let (seen, last) = agents.send(&list(), flow(1), None);
+    assert_eq!(last, not_held(flow(1)));
+    let expected: Vec<u8> = [20, 3, 12, 40]
+        .into_iter()
+        .chain(21..=39)
+        .chain(41..=45)
+        .chain([1, 2])
+        .chain(4..=11)
+        .chain(13..=19)
+        .collect();
+    assert_eq!(seen, expected);
+    // The balancer took agent 7 for the owner; the home stands behind it.
+    let mut owned = header(&[7, 20]);
+    owned.hints.owned = true;
+    let (seen, last) = agents.send(&owned, flow(1), None);
+    assert_eq!(last, not_held(flow(1)));
+    assert_eq!(seen[..4], [7, 20, 21, 22]);
+    assert_eq!(seen.len(), usize::from(MEMBERS));
+}
+
+/// Guards against a search that an agent takes for a new flow, or redirects to itself.
+#[test]
+fn a_search_is_marked() {
+    let mut agents = Agents::new(&backend());
+    let mut end = list();
+    end.hop = 3;
+    let next = agents.at(40).passed(&end, &data(flow(1), 900));
+    let search = Flags {
+        lookup: true,
+        accept: false,
+    };
+    assert_eq!((next.flags, target(&next)), (search, 21));
+}
+
+/// Guards against a reset of a flow that lives: one member can't say whether it holds it, its table
+/// lacks a member, or the last one's does.
+#[test]
+fn doubt_and_missing_members_keep_a_flow() {
+    let dropped = Action::Drop(DropReason::Unknown);
+    for number in [20, 12, 30, 45, 19] {
+        let mut agents = Agents::new(&backend());
+        agents.at(number).event(Event::Backend(None));
+        let (seen, last) = agents.send(&list(), flow(1), None);
+        assert_eq!(last, dropped, "agent {number} without its backend server");
+        assert_eq!(seen.len(), usize::from(MEMBERS));
+    }
+    for number in [41, 24, 18] {
+        let mut agents = Agents::new(&backend());
+        let without = |number| {
+            let all = members().into_iter();
+            all.filter(move |member| member.packets != address(number))
+        };
+        *agents.at(number) = Rig::at(number, backend(), without(number + 1).collect());
+        for other in (1..=MEMBERS).filter(|other| *other != number) {
+            agents.at(other).event(Event::Table(&table(3, members())));
+        }
+        let (_, last) = agents.send(&list(), flow(1), None);
+        assert_eq!(last, dropped, "agent {number} with an older table");
+    }
+}
+
+/// Guards against a search without end where tables differ or services are large.
+#[test]
+fn a_search_is_bounded() {
+    let mut agents = Agents::new(&backend());
+    let mut end = list();
+    end.hop = 3;
+    let mut next = agents.at(40).passed(&end, &data(flow(1), 900));
+    for _ in 0..127 {
+        let mut sweep = next.hints.sweep.unwrap();
+        sweep = sweep.visited(address(200));
+        next.hints.sweep = Some(sweep);
+    }
+    let action = agents.at(21).first(&next, &data(flow(1), 900));
+    assert_eq!(action, Action::Drop(DropReason::Unknown));
+}
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -6,7 +6,7 @@
 use rpc::{Key, TAG_BYTES};
 use units::{Epoch, Incarnation, ServiceId};
 
-use crate::load::{LOAD_BYTES, Load};
+use crate::hints::Hints;
 use crate::notice::{self, Notice};
 use crate::{PacketError, WireError};
 
@@ -22,7 +22,7 @@
 /// First two bytes of every datagram.
 const MAGIC: u16 = 0x4A53;
 
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 pub(crate) const KIND_PACKET: u8 = 1;
 pub(crate) const KIND_NOTICE: u8 = 2;
@@ -30,12 +30,6 @@
 /// Bytes before the candidates of a packet, or before the owner of a notice.
 pub(crate) const FIXED_BYTES: usize = 20;
 
-/// Bytes of the hints, after the candidates of a packet.
-const HINT_BYTES: usize = 6 + 1 + LOAD_BYTES + 2;
-
-/// Hop of the lightest candidate while there is none.
-const NO_HOP: u8 = u8::MAX;
-
 /// Bytes of a candidate.
 pub(crate) const CANDIDATE_BYTES: usize = 14;
 
@@ -43,12 +37,11 @@
 const TAGGED_INNER: usize = 64;
 
 const HOP_AT: usize = 4;
-const PRIORITY_AT: usize = 7;
+pub(crate) const FLAGS_AT: usize = 6;
+pub(crate) const PRIORITY_AT: usize = 7;
+
 const FLAG_LOOKUP: u8 = 1;
 const FLAG_ACCEPT: u8 = 2;
-const FLAG_HINTS: u8 = 4;
-const FLAG_OWNED: u8 = 8;
-const FLAG_DOUBTFUL: u8 = 16;
 
 /// Agent that may hold or accept a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -84,6 +77,16 @@
             self.len += 1;
         }
     }
+
+    /// Removes the last candidate.
+    pub fn pop(&mut self) {
+        self.len = self.len.saturating_sub(1);
+    }
+
+    /// Keeps the first candidates.
+    pub fn truncate(&mut self, most: usize) {
+        self.len = self.len.min(u8::try_from(most).unwrap_or(u8::MAX));
+    }
 }
 
 impl Deref for Candidates {
@@ -112,23 +115,6 @@
     }
 }
 
-/// What the placement of opaque flows needs; absent otherwise.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Hints {
-    /// Where the balancer that sent the packet wants to be told the owner.
-    pub origin: Option<SocketAddrV4>,
-    /// The balancer takes the first candidate for the owner.
-    pub owned: bool,
-    /// An agent that was visited may hold the flow without knowing it.
-    pub doubtful: bool,
-    /// Order of the route under overload; 0 goes first.
-    pub priority: u8,
-    /// Time in ms within which an answer is wanted; 0 says nothing.
-    pub wanted_ms: u16,
-    /// Hop and load of the lightest candidate that a SYN has visited.
-    pub lightest: Option<(u8, Load)>,
-}
-
 /// How agents treat a SYN that they don't hold.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Flags {
@@ -142,9 +128,7 @@
     fn to_byte(self, hints: &Hints) -> u8 {
         (u8::from(self.lookup) * FLAG_LOOKUP)
             | (u8::from(self.accept) * FLAG_ACCEPT)
-            | (u8::from(*hints != Hints::default()) * FLAG_HINTS)
-            | (u8::from(hints.owned) * FLAG_OWNED)
-            | (u8::from(hints.doubtful) * FLAG_DOUBTFUL)
+            | hints.flags()
     }
 
     fn from_byte(byte: u8) -> Self {
@@ -164,7 +148,7 @@
     pub flags: Flags,
     /// Service.
     pub service: ServiceId,
-    /// Table that the balancer used.
+    /// Newest table on the way so far.
     pub epoch: Epoch,
     /// Candidates.
     pub candidates: Candidates,
@@ -216,6 +200,10 @@
             flags,
             epoch: REDIRECTED,
             candidates: candidates.collect(),
+            hints: Hints {
+                sweep: None,
+                ..self.hints
+            },
             ..*self
         }
     }
@@ -232,6 +220,13 @@
         self.is_redirected() && self.hop == 1
     }
 
+    /// Home of the flow: the first candidate, behind the one that the balancer takes for the owner.
+    #[must_use]
+    pub fn home(&self) -> Option<Candidate> {
+        let behind = usize::from(self.hints.owned && self.candidates.len() > 1);
+        self.candidates.get(behind).copied()
+    }
+
     /// First candidate, if it sent the packet on without knowing the owner.
     #[must_use]
     pub fn relay(&self) -> Option<Candidate> {
@@ -266,12 +261,12 @@
     &inner[..inner.len().min(TAGGED_INNER)]
 }
 
-fn put_address(out: &mut Vec<u8>, address: SocketAddrV4) {
+pub(crate) fn put_address(out: &mut Vec<u8>, address: SocketAddrV4) {
     out.extend_from_slice(&address.ip().octets());
     out.extend_from_slice(&address.port().to_be_bytes());
 }
 
-fn take_address(raw: &[u8], at: usize) -> Result<SocketAddrV4, WireError> {
+pub(crate) fn take_address(raw: &[u8], at: usize) -> Result<SocketAddrV4, WireError> {
     let ip = Ipv4Addr::from(array::<4>(raw, at)?);
     let port = u16::from_be_bytes(array(raw, at + 4)?);
     Ok(SocketAddrV4::new(ip, port))
@@ -329,9 +324,7 @@
     for candidate in header.candidates.iter() {
         put_candidate(out, candidate);
     }
-    if header.hints != Hints::default() {
-        put_hints(out, &header.hints);
-    }
+    header.hints.put(out);
     let tag = key.tag(&[out, tagged(inner)]);
     out[HOP_AT] = header.hop;
     out.extend_from_slice(&tag);
@@ -391,8 +384,7 @@
         return Err(WireError::Candidates);
     }
     let hints_at = FIXED_BYTES + count * CANDIDATE_BYTES;
-    let has_hints = datagram[6] & FLAG_HINTS != 0;
-    let tag_at = hints_at + if has_hints { HINT_BYTES } else { 0 };
+    let (hints, tag_at) = Hints::take(datagram, hints_at)?;
     let tag: [u8; TAG_BYTES] = array(datagram, tag_at)?;
     let inner = &datagram[tag_at + TAG_BYTES..];
     if inner.is_empty() {
@@ -418,42 +410,15 @@
     }
     let header = Header {
         hop,
-        flags: Flags::from_byte(datagram[6]),
+        flags: Flags::from_byte(datagram[FLAGS_AT]),
         service,
         epoch,
         candidates,
-        hints: if has_hints {
-            take_hints(datagram, hints_at)?
-        } else {
-            Hints::default()
-        },
+        hints,
     };
     Ok(Message::Packet { header, inner })
 }
 
-fn put_hints(out: &mut Vec<u8>, hints: &Hints) {
-    let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
-    put_address(out, hints.origin.unwrap_or(unknown));
-    let (hop, load) = hints.lightest.unwrap_or((NO_HOP, Load::default()));
-    out.push(hop);
-    out.extend_from_slice(&load.to_bytes());
-    out.extend_from_slice(&hints.wanted_ms.to_be_bytes());
-}
-
-fn take_hints(raw: &[u8], at: usize) -> Result<Hints, WireError> {
-    let origin = take_address(raw, at)?;
-    let hop = array::<1>(raw, at + 6)?[0];
-    let load = Load::from_bytes(array(raw, at + 7)?);
-    Ok(Hints {
-        origin: Some(origin).filter(|origin| origin.port() != 0),
-        owned: raw[6] & FLAG_OWNED != 0,
-        doubtful: raw[6] & FLAG_DOUBTFUL != 0,
-        priority: raw[PRIORITY_AT],
-        wanted_ms: u16::from_be_bytes(array(raw, at + 7 + LOAD_BYTES)?),
-        lightest: (hop != NO_HOP).then_some((hop, load)),
-    })
-}
-
 impl From<WireError> for PacketError {
     fn from(error: WireError) -> Self {
         match error {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod error;
 mod header;
+mod hints;
 mod inspect;
 mod load;
 mod notice;
@@ -14,9 +15,10 @@
 pub use codec::{Codec, Outbound};
 pub use error::{PacketError, WireError};
 pub use header::{
-    Candidate, Candidates, Flags, Header, Hints, MAX_CANDIDATES, MAX_DATAGRAM, MAX_INNER, Message,
-    decode, encode_packet, set_hop,
+    Candidate, Candidates, Flags, Header, MAX_CANDIDATES, MAX_DATAGRAM, MAX_INNER, Message, decode,
+    encode_packet, set_hop,
 };
+pub use hints::{Hints, Sweep};
 pub use inspect::{Segment, inspect};
 pub use load::Load;
 pub use notice::{MAX_NOTICE_FLOWS, Notice, encode_notice};
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -9,8 +9,8 @@
 use rpc::Key;
 use units::{Epoch, Flow, Incarnation, ServiceId};
 use wire::{
-    Candidate, Flags, Header, Load, MAX_INNER, MAX_NOTICE_FLOWS, Message, Notice, PacketError,
-    WireError, decode, encode_notice, encode_packet, inspect, set_hop,
+    Candidate, Flags, Header, Hints, Load, MAX_INNER, MAX_NOTICE_FLOWS, Message, Notice,
+    PacketError, Sweep, WireError, decode, encode_notice, encode_packet, inspect, set_hop,
 };
 
 fn key(seed: u8) -> Key {
@@ -70,6 +70,61 @@
     assert_eq!(rest, inner);
 }
 
+/// Guards against hints that get lost or change on the way, and against truncated ones that are read.
+#[test]
+fn hints_survive_encoding() {
+    let origin = SocketAddrV4::new(Ipv4Addr::new(10, 9, 9, 9), 7100);
+    let hints = Hints {
+        origin: Some(origin),
+        owned: true,
+        doubtful: true,
+        priority: 3,
+        wanted_ms: 250,
+        lightest: Some((
+            1,
+            Load {
+                busy: 3,
+                slots: 2,
+                open: 70_000,
+            },
+        )),
+        sweep: None,
+    };
+    let sweep = Sweep::new(origin).visited(candidate(1).address);
+    let swept = Hints {
+        sweep: Some(sweep),
+        ..hints
+    };
+    for hints in [Hints::default(), hints, swept] {
+        let header = Header { hints, ..header(3) };
+        let mut out = Vec::new();
+        encode_packet(&key(1), &header, &packet(b"hello"), &mut out).unwrap();
+        let Message::Packet { header: got, .. } = decode(&key(1), &out).unwrap() else {
+            panic!()
+        };
+        assert_eq!(got, header);
+        for length in 0..out.len() - packet(b"hello").len() {
+            assert!(decode(&key(1), &out[..length]).is_err(), "{length} bytes");
+        }
+    }
+}
+
+/// Guards against a sweep that ends early or never: members come in one order from its start, and
+/// only the sum over exactly these members covers them.
+#[test]
+fn a_sweep_orders_and_counts_members() {
+    let at = |n| candidate(n).address;
+    let sweep = Sweep::new(at(5));
+    let mut order: Vec<u8> = (1..=9).collect();
+    order.sort_by_key(|n| sweep.place(at(*n)));
+    assert_eq!(order, [5, 6, 7, 8, 9, 1, 2, 3, 4]);
+    let visited = [7, 2, 9].into_iter().fold(sweep, |s, n| s.visited(at(n)));
+    assert_eq!(visited.visits, 3);
+    assert!(visited.covers([2, 7, 9].into_iter().map(at)));
+    assert!(!visited.covers([2, 7].into_iter().map(at)));
+    assert!(!visited.covers([2, 7, 8].into_iter().map(at)));
+}
+
 #[test]
 fn refuses_a_datagram_of_another_deployment() {
     let mut out = Vec::new();
