Pass over members that are gone, and end members whose agent leaves

Change: a leave ends the members of earlier starts of the same host, unless agents of two services share it. Agents tell their load to all members, those that drain as well; a search passes over a member that has missed three notices (1.5 s at least).

Ruled out: shorter leases (heartbeats of all nodes would double).

Tests: membership (fails before), forwarding::search (3: members that are gone, that are late, and an agent that drains itself).

--- a/crates/forwarding/src/balance.rs
+++ b/crates/forwarding/src/balance.rs
@@ -8,6 +8,8 @@
 use units::DataCentre;
 use wire::{Candidate, Load};
 
+use crate::forwarder::Other;
+
 /// Share by which the own open flows may exceed a sibling's in the same data centre.
 const SURPLUS: f64 = 1.05;
 
@@ -17,15 +19,24 @@
 /// Flows per slot by which they may exceed it on top, so that few flows don't bounce.
 const MARGIN: f64 = 1.0;
 
+/// Notices missed in a row after which a sibling counts as silent.
+const MISSED: u32 = 3;
+
+/// Shortest time without notices after which it does; longer than an agent's restart.
+const LEAST_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// A sibling as its notices and the table describe it.
 #[derive(Debug, Clone)]
 struct Sibling {
     candidate: Candidate,
     centre: DataCentre,
+    takes_work: bool,
     load: Option<(Load, Instant)>,
+    /// When it was heard last, or came into the table.
+    heard: Instant,
 }
 
-/// Siblings that take work.
+/// The other members of the service.
 #[derive(Debug, Default)]
 pub(crate) struct Siblings {
     all: BTreeMap<SocketAddrV4, Sibling>,
@@ -34,19 +45,20 @@
 }
 
 impl Siblings {
-    /// Takes the members of a new table; known loads stay.
-    pub(crate) fn update(&mut self, members: impl Iterator<Item = (DataCentre, Candidate)>) {
+    /// Takes the members of a new table; what is known of them stays.
+    pub(crate) fn update<'a>(&mut self, members: impl Iterator<Item = &'a Other>, now: Instant) {
         let mut before = std::mem::take(&mut self.all);
         self.all = members
-            .map(|(centre, candidate)| {
+            .map(|member| {
+                let candidate = member.candidate;
                 let old = before.remove(&candidate.address);
-                let load = old
-                    .filter(|o| o.candidate == candidate)
-                    .and_then(|o| o.load);
+                let old = old.filter(|old| old.candidate == candidate);
                 let sibling = Sibling {
                     candidate,
-                    centre,
-                    load,
+                    centre: member.centre.clone(),
+                    takes_work: member.takes_work,
+                    load: old.as_ref().and_then(|old| old.load),
+                    heard: old.map_or(now, |old| old.heard),
                 };
                 (candidate.address, sibling)
             })
@@ -57,9 +69,25 @@
     pub(crate) fn set(&mut self, address: SocketAddrV4, load: Load, now: Instant) {
         if let Some(sibling) = self.all.get_mut(&address) {
             sibling.load = Some((load, now));
+            sibling.heard = now;
         }
     }
 
+    /// Whether a sibling left out several notices in a row; each gets one in `fanout` per interval.
+    pub(crate) fn is_silent(
+        &self,
+        address: SocketAddrV4,
+        interval: Duration,
+        fanout: usize,
+        now: Instant,
+    ) -> bool {
+        let rounds = self.all.len().div_ceil(fanout.max(1)).max(1);
+        let round = interval * u32::try_from(rounds).unwrap_or(u32::MAX);
+        let limit = (round * MISSED).max(LEAST_SILENCE);
+        let sibling = self.all.get(&address);
+        sibling.is_some_and(|sibling| now >= sibling.heard + limit)
+    }
+
     /// Siblings that get the next load notices.
     pub(crate) fn receivers(&mut self, most: usize) -> Vec<SocketAddrV4> {
         let count = self.all.len();
@@ -86,7 +114,8 @@
         for (near, surplus) in [(true, SURPLUS), (false, FAR_SURPLUS)] {
             let known = self.all.values_mut().filter_map(|sibling| {
                 let (load, at) = sibling.load.as_mut()?;
-                let counts = (sibling.centre == *centre) == near && now < *at + ttl;
+                let counts =
+                    sibling.takes_work && (sibling.centre == *centre) == near && now < *at + ttl;
                 (counts && load.is_free()).then_some((sibling.candidate, load))
             });
             let open = |load: &Load| per_slot(load.open, load.slots);
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -216,9 +216,7 @@
                 takes_work: member.state.takes_work(),
             })
             .collect();
-        let working = self.members.iter().filter(|member| member.takes_work);
-        self.siblings
-            .update(working.map(|m| (m.centre.clone(), m.candidate)));
+        self.siblings.update(self.members.iter(), now);
         self.centres = Some(centres);
         self.register_moved(now, out);
     }
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -63,7 +63,7 @@
             let action = if header.is_informed() && !segment.rst {
                 lost(segment)
             } else {
-                self.pass(&header, segment, Reason::Returned)
+                self.pass(now, &header, segment, Reason::Returned)
             };
             return out.push(action);
         }
--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -45,7 +45,7 @@
             self.offers.sent(flow, *header);
             return Action::Deliver(Reason::Offer);
         }
-        self.pass(header, segment, Reason::Unknown)
+        self.pass(now, header, segment, Reason::Unknown)
     }
 
     /// Whether flows may be open that this agent does not know.
@@ -55,7 +55,13 @@
 
     /// Sends a packet that is not a SYN to the next candidate, then to every member. If each is sure
     /// not to hold the flow, its caller gets a reset.
-    pub(crate) fn pass(&self, header: &Header, segment: &Segment, reason: Reason) -> Action {
+    pub(crate) fn pass(
+        &self,
+        now: Instant,
+        header: &Header,
+        segment: &Segment,
+        reason: Reason,
+    ) -> Action {
         let flow = segment.flow;
         let mut header = *header;
         header.hints.doubtful |= !self.is_sure(&flow);
@@ -70,7 +76,7 @@
         };
         // The balancer's list; in a sweep the member addressed stands behind it.
         let mut list = header.candidates;
-        let sweep = match header.hints.sweep {
+        let mut sweep = match header.hints.sweep {
             Some(sweep) => {
                 list.pop();
                 sweep.visited(self.me.address)
@@ -78,7 +84,14 @@
             None => Sweep::new(home.address),
         };
         list.truncate(MAX_CANDIDATES - 1);
-        if let Some(next) = self.next_in(&sweep, &header, &list) {
+        let mut here = header.hints.sweep.map(|_| self.me.address);
+        while let Some(next) = self.next_in(&sweep, here, &list) {
+            // Without its agent a backend server is out of reach, whatever it holds.
+            if self.is_gone(next.address, now) {
+                sweep = sweep.visited(next.address);
+                here = Some(next.address);
+                continue;
+            }
             let hop = list.len();
             list.push(next);
             header.candidates = list;
@@ -102,8 +115,13 @@
     }
 
     /// Member that a sweep visits next.
-    fn next_in(&self, sweep: &Sweep, header: &Header, list: &Candidates) -> Option<Candidate> {
-        let here = header.hints.sweep.map(|_| sweep.place(self.me.address));
+    fn next_in(
+        &self,
+        sweep: &Sweep,
+        here: Option<SocketAddrV4>,
+        list: &Candidates,
+    ) -> Option<Candidate> {
+        let here = here.map(|here| sweep.place(here));
         let follows =
             |member: &Candidate| here.is_none_or(|here| sweep.place(member.address) > here);
         let members = self.members.iter().map(|member| member.candidate);
@@ -112,6 +130,11 @@
         (sweep.visits < self.settings.sweep).then_some(next)
     }
 
+    fn is_gone(&self, member: SocketAddrV4, now: Instant) -> bool {
+        let (interval, fanout) = (self.settings.load_interval, self.settings.load_fanout);
+        self.siblings.is_silent(member, interval, fanout, now)
+    }
+
     /// Whether the backend server surely does not hold a flow that is not known here.
     fn is_sure(&self, flow: &Flow) -> bool {
         let known = self.backend.is_some_and(|backend| !backend.older);
--- a/crates/forwarding/tests/all/search.rs
+++ b/crates/forwarding/tests/all/search.rs
@@ -1,13 +1,14 @@
 //! Searches over all members of a service.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use api::Member;
+use api::{Member, MemberState};
 use forwarding::{Action, Backend, DropReason, Event, Reason};
 use units::Flow;
 use wire::{Flags, Header};
 
-use crate::common::{Rig, address, backend, data, flow, header, member, table, target};
+use crate::common::{Rig, address, backend, data, flow, header, load, member, table, target};
 
 /// Members of a service, a fifth in each of five data centres.
 const MEMBERS: u8 = 45;
@@ -25,6 +26,24 @@
         self.0.get_mut(&number).unwrap()
     }
 
+    /// Lets time pass and delivers the notices that are due, but those of some agents.
+    fn wait(&mut self, time: Duration, silent: &[u8]) {
+        let ms = u64::try_from(time.as_millis()).unwrap();
+        let mut notices = Vec::new();
+        for (number, rig) in &mut self.0 {
+            let actions = rig.after(ms);
+            if !silent.contains(number) {
+                notices.extend(actions.into_iter().filter_map(|action| match action {
+                    Action::Notify { to, flows } => Some((*number, to.ip().octets()[3], flows)),
+                    _ => None,
+                }));
+            }
+        }
+        for (from, to, flows) in notices {
+            self.at(to).notice(from, flows, load(0, 2, 0));
+        }
+    }
+
     /// Sends a packet of a flow from the balancer; the agents that saw it, and what ended its way.
     /// Backend servers return what they are offered, but for the one that holds the flow.
     fn send(&mut self, header: &Header, flow: Flow, holder: Option<u8>) -> (Vec<u8>, Action) {
@@ -169,3 +188,49 @@
     let action = agents.at(21).first(&next, &data(flow(1), 900));
     assert_eq!(action, Action::Drop(DropReason::Unknown));
 }
+
+/// Guards against callers that wait while a member that is gone is still in the table: a search
+/// stopped there until the lease ended, 4 s after a loss of power.
+#[test]
+fn a_search_passes_over_members_that_are_gone() {
+    let gone = [24, 25, 45];
+    let mut agents = Agents::new(&backend());
+    for _ in 0..10 {
+        agents.wait(Duration::from_millis(250), &gone);
+    }
+    let (seen, last) = agents.send(&list(), flow(1), None);
+    assert_eq!(last, not_held(flow(1)));
+    assert!(gone.iter().all(|n| !seen.contains(n)), "{seen:?}");
+    assert_eq!(seen.len(), usize::from(MEMBERS) - gone.len());
+}
+
+/// Guards against a reset of a flow at a member that is only late: a notice may be lost, and an agent
+/// may start anew.
+#[test]
+fn a_member_that_missed_some_notices_is_visited() {
+    let mut agents = Agents::new(&backend());
+    for _ in 0..5 {
+        agents.wait(Duration::from_millis(250), &[24]);
+    }
+    let (seen, _) = agents.send(&list(), flow(1), None);
+    assert!(seen.contains(&24));
+}
+
+/// Guards against an agent that takes all others for gone because it is draining itself.
+#[test]
+fn a_draining_member_hears_the_others() {
+    let mut agents = Agents::new(&backend());
+    let mut drained = members();
+    drained[29].state = MemberState::Draining;
+    for rig in agents.0.values_mut() {
+        rig.event(Event::Table(&table(3, drained.clone())));
+    }
+    for _ in 0..12 {
+        agents.wait(Duration::from_millis(250), &[]);
+    }
+    let (seen, last) = agents.send(&list(), flow(1), None);
+    assert_eq!(
+        (seen.len(), last),
+        (usize::from(MEMBERS), not_held(flow(1)))
+    );
+}
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -86,6 +86,7 @@
         }
         if beat.leaving {
             self.nodes.remove(&key);
+            self.note_left(now, state, &key);
         } else {
             let old = self.nodes.remove(&key);
             self.nodes.insert(key, renew(now, old, beat, backend));
@@ -104,6 +105,26 @@
         })
     }
 
+    /// Notes the members that a process takes with it: itself, and earlier processes of its host, which
+    /// it replaced before this replica heard of it.
+    fn note_left(&mut self, now: Now, state: &State, (role, host, incarnation): &NodeKey) {
+        if *role != Role::Agent {
+            return;
+        }
+        let ended = |m: &&api::Member| m.host == *host && m.incarnation <= *incarnation;
+        let members = state.tables().flat_map(|table| {
+            let ended = table.members.iter().filter(ended);
+            ended.map(|member| (table.service, member.host.clone(), member.incarnation))
+        });
+        let members: Vec<_> = members.collect();
+        // Agents of two services may share a host, and the message does not name the service.
+        let same = members.iter().all(|(service, ..)| *service == members[0].0);
+        if let Some((service, ..)) = members.first().filter(|_| same) {
+            self.mark(now, *service);
+            self.left.extend(members);
+        }
+    }
+
     /// Refuses a process that is older than one that is known and not known itself.
     fn refuse(&self, state: &State, key: &NodeKey, service: Option<ServiceId>) -> Option<Refused> {
         let (role, host, refused) = key;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,7 +16,7 @@
 use api::{Heartbeat, HeartbeatReply};
 use state::State;
 use tokio::time::Instant;
-use units::{HostName, Millis, ServiceId};
+use units::{HostName, Incarnation, Millis, ServiceId};
 
 pub use config::MAX_MISSING;
 pub use lease::{MAX_NODES, Node, NodeKey, Refused};
@@ -79,6 +79,8 @@
     leading: Option<Leading>,
     nodes: BTreeMap<NodeKey, Node>,
     dirty: BTreeSet<ServiceId>,
+    /// Members whose processes said that they leave, until they are out of the table.
+    left: BTreeSet<(ServiceId, HostName, Incarnation)>,
     /// Backend servers that planned changes keep from new work.
     drained: BTreeSet<HostName>,
     /// When a service's key set first differed from its members.
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -57,7 +57,10 @@
                 continue;
             };
             let wanted = self.wanted(&name.body.name, &holders);
-            let (mut change, unheard) = difference(table, wanted, settled, &holders);
+            let left = |host: &HostName, incarnation: Incarnation| {
+                self.left.contains(&(id, host.clone(), incarnation))
+            };
+            let (mut change, unheard) = difference(table, wanted, settled, &holders, left);
             change.put.truncate(room);
             change.gone.truncate(room - change.put.len());
             room -= change.put.len() + change.gone.len();
@@ -74,6 +77,11 @@
             }
         }
         self.dirty = waiting;
+        self.left.retain(|(id, host, incarnation)| {
+            let table = state.table(*id).map(|table| table.members.iter());
+            let is = |m: &Member| m.host == *host && m.incarnation == *incarnation;
+            table.is_some_and(|mut members| members.any(is))
+        });
         if !changes.is_empty() {
             out.push(Action::Propose(state::Action::Members(changes)));
         }
@@ -142,6 +150,7 @@
     mut wanted: BTreeMap<(HostName, Incarnation), Member>,
     settled: bool,
     holders: &Holders,
+    left: impl Fn(&HostName, Incarnation) -> bool,
 ) -> (TableChange, bool) {
     let mut change = TableChange {
         service: table.service,
@@ -153,7 +162,10 @@
         match wanted.remove(&key) {
             Some(now) if now == *member => {}
             Some(now) => change.put.push(now),
-            None if settled || holders.get(&member.packets) > Some(&member.incarnation) => {
+            None if settled
+                || left(&member.host, member.incarnation)
+                || holders.get(&member.packets) > Some(&member.incarnation) =>
+            {
                 change.gone.push(key);
             }
             None => unheard = true,
--- a/crates/membership/tests/decisions.rs
+++ b/crates/membership/tests/decisions.rs
@@ -257,6 +257,35 @@
     assert_eq!(world.table("s").len(), 0);
 }
 
+/// Guards against members that stay for a lease although their agent said that it leaves: after a loss
+/// of power it had started anew without its backend server, and no leader knew the process before.
+#[test]
+fn a_leave_ends_earlier_processes_of_the_host() {
+    let mut world = World::new();
+    world.live(1, &[agent("a", 1, SERVING), agent("b", 1, SERVING)]);
+    world.event(Event::Follow);
+    world.event(Event::Lead);
+    let leave = |host, start| Heartbeat {
+        leaving: true,
+        ..balancer(host, start, 3, Role::Agent)
+    };
+    // Neither a balancer of the host nor an older process takes the member with it.
+    world.beat(&leave("a", 0)).unwrap();
+    let other = Heartbeat {
+        role: Role::Balancer,
+        ..leave("a", 2)
+    };
+    world.beat(&other).unwrap();
+    world.pass(600);
+    assert_eq!(world.table("s").len(), 2);
+    world.beat(&leave("a", 2)).unwrap();
+    world.pass(600);
+    assert_eq!(world.table("s"), [("b".into(), 1, MemberState::Serving)]);
+    // The host may come back.
+    world.live(1, &[agent("a", 3, SERVING), agent("b", 1, SERVING)]);
+    assert_eq!(world.table("s").len(), 2);
+}
+
 /// Guards against an old process that comes back after its successor, and
 /// against two processes of one host that both take work.
 #[test]
