Ask backend servers that have not reported; search near a young home first

Its agent had just started anew and passed two packets on, because its backend server had not reported to it yet; the search offered them to five others. 4 s later the home had started anew as well and searched another data centre first.

Change: until the first report, 3 s at most, an agent offers packets of unknown flows to its backend server all the same. They go on as well, marked as doubtful, unless an agent or a balancer named this one as the owner. A home that started lately visits the members of its own data centre before the rest of the balancer's list. Searches pass over members that are gone in that list as well, and nobody is taken for gone while most siblings are silent: then this agent itself stood still or is cut off.

Ruled out: waiting for the report (1.2 s without packets), and answers of other backend servers (each returned what it did not hold).

--- a/crates/forwarding/src/balance.rs
+++ b/crates/forwarding/src/balance.rs
@@ -73,8 +73,9 @@
         }
     }
 
-    /// Whether a sibling left out several notices in a row; each gets one in `fanout` per interval.
-    pub(crate) fn is_silent(
+    /// Whether a sibling left out several notices in a row while most others were heard; each sends one
+    /// to `fanout` of its siblings per interval.
+    pub(crate) fn is_gone(
         &self,
         address: SocketAddrV4,
         interval: Duration,
@@ -84,8 +85,10 @@
         let rounds = self.all.len().div_ceil(fanout.max(1)).max(1);
         let round = interval * u32::try_from(rounds).unwrap_or(u32::MAX);
         let limit = (round * MISSED).max(LEAST_SILENCE);
-        let sibling = self.all.get(&address);
-        sibling.is_some_and(|sibling| now >= sibling.heard + limit)
+        let silent = |sibling: &Sibling| now >= sibling.heard + limit;
+        // Otherwise it is this agent that stood still or is cut off.
+        let most_heard = || self.all.values().filter(|s| silent(s)).count() * 2 < self.all.len();
+        self.all.get(&address).is_some_and(silent) && most_heard()
     }
 
     /// Siblings that get the next load notices.
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -42,6 +42,8 @@
     pub(crate) start: Instant,
     pub(crate) service: Option<Service>,
     pub(crate) backend: Option<Backend>,
+    /// Whether the backend server has reported at all.
+    pub(crate) reported: bool,
     /// When the backend server left a SYN unanswered, until it is heard again.
     pub(crate) silent: Option<Instant>,
     pub(crate) centres: Option<Centres>,
@@ -76,6 +78,7 @@
             start: now,
             service: None,
             backend: None,
+            reported: false,
             silent: None,
             centres: None,
             members: Vec::new(),
@@ -223,6 +226,7 @@
 
     fn change_backend(&mut self, now: Instant, backend: Option<Backend>, out: &mut Vec<Action>) {
         self.silent = None;
+        self.reported |= backend.is_some();
         let before = self.backend.map(|backend| backend.incarnation);
         self.backend = backend;
         if backend.is_none_or(|backend| !backend.accepts) {
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -68,6 +68,10 @@
             return out.push(action);
         }
         let Some(mut held) = self.release(&flow) else {
+            // Among others, a packet that was offered before the backend server had reported.
+            if !segment.opens() {
+                self.offers.note_returned(flow, now);
+            }
             return out.push(Action::Drop(DropReason::Stray));
         };
         if segment.opens() {
--- a/crates/forwarding/src/packet.rs
+++ b/crates/forwarding/src/packet.rs
@@ -42,8 +42,7 @@
         }
         // A flow that is half-open here may be established at another agent.
         let may_offer = fits.is_none();
-        let action = self.unknown(now, header, segment, may_offer);
-        out.push(action);
+        self.unknown(now, header, segment, inner, may_offer, out);
     }
 
     /// Whether a SYN opens a new flow under the addresses of one that ended, or is a copy of one
--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -26,26 +26,48 @@
         now: Instant,
         header: &Header,
         segment: &Segment,
+        inner: &[u8],
         may_offer: bool,
-    ) -> Action {
+        out: &mut Vec<Action>,
+    ) {
         let flow = segment.flow;
         let returned = self.offers.was_returned(&flow);
         let informed = header.is_informed() && may_offer;
         if informed && returned && !segment.rst {
-            return Action::Reset {
+            return out.push(Action::Reset {
                 flow,
                 seq: segment.ack_number,
                 reason: Reason::Lost,
-            };
+            });
         }
         let young = self.is_young(now);
-        let older = self.backend.is_some_and(|backend| backend.older && young);
-        let offers = informed || older && may_offer || header.hints.owned && older;
-        if offers && !returned && self.backend.is_some() {
+        let (here, older) = match self.backend {
+            Some(backend) => (true, backend.older && young),
+            None => (self.is_unreported(now), self.is_unreported(now)),
+        };
+        let named = informed || header.hints.owned && older;
+        if returned || !here || !(named || older && may_offer) {
+            return out.push(self.pass(now, header, segment, Reason::Unknown));
+        }
+        out.push(Action::Deliver(Reason::Offer));
+        // A backend server that has not reported may not be there, so the packet goes on as well,
+        // unless another agent named this one.
+        if self.backend.is_some() || named {
             self.offers.sent(flow, *header);
-            return Action::Deliver(Reason::Offer);
+        } else if let Action::Forward(header, _) = self.pass(now, header, segment, Reason::Unknown)
+        {
+            let inner = inner.into();
+            out.push(Action::Resend {
+                header,
+                inner,
+                flow,
+            });
         }
-        self.pass(now, header, segment, Reason::Unknown)
+    }
+
+    /// Whether the backend server may be there although it has not reported to this agent yet.
+    fn is_unreported(&self, now: Instant) -> bool {
+        self.backend.is_none() && !self.reported && now < self.start + self.settings.first_report
     }
 
     /// Whether flows may be open that this agent does not know.
@@ -68,8 +90,18 @@
         if !header.is_redirected() {
             header.epoch.0 = header.epoch.0.max(self.epoch());
         }
-        if header.hints.sweep.is_none() && header.has_next() {
-            return Action::Forward(header.next(header.flags), reason);
+        if header.hop == 0 && !header.hints.owned && self.is_young(now) {
+            self.widen(&mut header);
+        }
+        while header.hints.sweep.is_none() && header.has_next() {
+            header = header.next(header.flags);
+            // Without its agent a backend server is out of reach, whatever it holds.
+            if header
+                .target()
+                .is_some_and(|t| !self.is_gone(t.address, now))
+            {
+                return Action::Forward(header, reason);
+            }
         }
         let Some(home) = header.home() else {
             return Action::Drop(DropReason::Unknown);
@@ -86,7 +118,6 @@
         list.truncate(MAX_CANDIDATES - 1);
         let mut here = header.hints.sweep.map(|_| self.me.address);
         while let Some(next) = self.next_in(&sweep, here, &list) {
-            // Without its agent a backend server is out of reach, whatever it holds.
             if self.is_gone(next.address, now) {
                 sweep = sweep.visited(next.address);
                 here = Some(next.address);
@@ -114,6 +145,27 @@
         }
     }
 
+    /// Puts the members of the own data centre in front of the others: this agent is the flow's home and
+    /// may have lost what the owner told it, and most owners are near.
+    fn widen(&self, header: &mut Header) {
+        let Some(service) = &self.service else { return };
+        let (home, rest) = match header.candidates.split_first() {
+            Some((home, rest)) => (*home, rest),
+            None => return,
+        };
+        let near = self.members.iter().filter(|m| m.centre == service.centre);
+        let mut near: Vec<Candidate> = near.map(|member| member.candidate).collect();
+        let order = Sweep::new(home.address);
+        near.sort_by_key(|member| order.place(member.address));
+        let is_near = |other: &&Candidate| near.iter().any(|n| n.address == other.address);
+        let (first, last): (Vec<_>, Vec<_>) = rest.iter().partition(is_near);
+        let room = MAX_CANDIDATES.saturating_sub(1 + rest.len());
+        let added = near.iter();
+        let added = added.filter(|n| !is_listed(&header.candidates, n.address));
+        let all = [&home].into_iter().chain(first).chain(added.take(room));
+        header.candidates = all.chain(last).copied().collect();
+    }
+
     /// Member that a sweep visits next.
     fn next_in(
         &self,
@@ -132,7 +184,7 @@
 
     fn is_gone(&self, member: SocketAddrV4, now: Instant) -> bool {
         let (interval, fanout) = (self.settings.load_interval, self.settings.load_fanout);
-        self.siblings.is_silent(member, interval, fanout, now)
+        self.siblings.is_gone(member, interval, fanout, now)
     }
 
     /// Whether the backend server surely does not hold a flow that is not known here.
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -10,6 +10,8 @@
     /// Time after the start in which no SYN is refused: siblings may be starting as well, and the
     /// caller repeats a SYN that got no answer.
     pub settle: Duration,
+    /// Time after the start within which the backend server reports, if it is there.
+    pub first_report: Duration,
     /// Time within which the backend server answers a SYN; it does so before it has a slot.
     pub answer: Duration,
     /// Time for which the end of a flow is remembered, so that its last packets find the way.
@@ -52,6 +54,7 @@
         Self {
             flow_age: Duration::from_secs(60),
             settle: Duration::from_millis(1_500),
+            first_report: Duration::from_secs(3),
             answer: Duration::from_millis(25),
             linger: Duration::from_secs(2),
             notice: Duration::from_secs(1),
