Log pauses of a process and the load behind a refusal; align clocks in traces by most flows

The first lines of a flow at two machines are often seconds apart, because one of them is only asked for the flow later, and their median is no measure. Searches showed further that the six seconds in which a balancer was frozen left no line, that a refusal for a full link didn't say how many transfers there were, and that lines of control on the same machine drowned the flow's own.

Change: clocks are compared by the difference that most flows show within 50 ms, along the links with the most flows first. Packet loops log when they weren't run for 250 ms or more, and when the time of day moved against the steady clock. Refusals name transfers and their limit, which are gauges as well. A trace shows what the processes of the flow believed, not what others on the same machine did. Ruled out: pairing lines by the address that a packet was sent to, which needs the start lines of every process.

Tests: three of the trace fail without the change; pauses are tested by clocks given to them.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -172,6 +172,12 @@
         self.owners.len()
     }
 
+    /// Bulk transfers in progress, and the most that the link takes if its rate is known.
+    #[must_use]
+    pub fn transfers(&self) -> (usize, Option<usize>) {
+        self.link.transfers()
+    }
+
     fn open(
         &mut self,
         now: Instant,
--- a/crates/dispatch/src/link.rs
+++ b/crates/dispatch/src/link.rs
@@ -100,6 +100,12 @@
         free
     }
 
+    /// Transfers in progress, and the most that the link takes if its rate is known.
+    pub(crate) fn transfers(&self) -> (usize, Option<usize>) {
+        let most = (self.settings.rate > 0).then(|| self.most());
+        (self.transfers.len(), most)
+    }
+
     fn most(&self) -> usize {
         let bytes = self.settings.rate as f64 * self.settings.queue.as_secs_f64();
         ((bytes / self.settings.window as f64) as usize).max(1)
--- a/crates/opaque/src/agent/packets.rs
+++ b/crates/opaque/src/agent/packets.rs
@@ -77,8 +77,9 @@
             out: Vec::with_capacity(MAX_DATAGRAM),
         };
         loop {
+            let since = Instant::now();
             let lost = self.shared.reports().deadline();
-            let lost = lost.filter(|at| *at > Instant::now());
+            let lost = lost.filter(|at| *at > since);
             let tick = self.forwarder.deadline();
             let due = lost.map_or(tick, |lost| lost.min(tick));
             tokio::select! {
@@ -89,6 +90,7 @@
                 _ = views.changed() => views.mark_changed(),
                 () = sleep_until(due) => self.expire_backend(&mut buffers),
             }
+            self.tally.woke(since, due);
             // Looked at in every round, so that no flood of packets keeps them waiting.
             while let Ok(change) = changes.try_recv() {
                 self.change(change, &mut buffers);
--- a/crates/opaque/src/balancer/packets.rs
+++ b/crates/opaque/src/balancer/packets.rs
@@ -49,14 +49,15 @@
         let mut actions = Vec::new();
         let mut out = Vec::with_capacity(MAX_DATAGRAM);
         loop {
-            let idle = Instant::now() + IDLE;
-            let due = self.dispatch.deadline().unwrap_or(idle);
+            let since = Instant::now();
+            let due = self.dispatch.deadline().unwrap_or(since + IDLE);
             // Readiness that can't be awaited shows as an error of the next receive.
             tokio::select! {
                 _ = self.notices.ready(Interest::READABLE) => {}
                 _ = self.packets.ready(Interest::READABLE) => {}
                 () = sleep_until(due) => {}
             }
+            self.tally.woke(since, due);
             self.receive_notices(&mut buffer);
             self.receive_packets(&mut buffer, &mut actions, &mut out);
             let now = Instant::now();
@@ -180,9 +181,11 @@
 
     fn not_sent(&mut self, outcome: &str, flow: Flow, reason: DropReason) {
         let (config, age) = self.view();
+        let (transfers, most) = self.dispatch.transfers();
         if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
             warn!(log, "{outcome}"; "flow" => %flow, "reason" => %reason,
-                "config" => config, "view_age_ms" => age);
+                "config" => config, "view_age_ms" => age,
+                "transfers" => transfers, "transfers_most" => most);
         }
     }
 
@@ -232,7 +235,13 @@
         self.tally.count(Outcome::Round);
         let (dispatch, config) = (&self.dispatch, self.directory.borrow().config().0);
         self.tally.send(Instant::now(), || {
-            [("owners", dispatch.owners() as u64), ("config", config)]
+            let (transfers, most) = dispatch.transfers();
+            [
+                ("owners", dispatch.owners() as u64),
+                ("config", config),
+                ("transfers", transfers as u64),
+                ("transfers_most", most.unwrap_or(0) as u64),
+            ]
         });
     }
 }
--- a/crates/opaque/src/tally.rs
+++ b/crates/opaque/src/tally.rs
@@ -3,11 +3,11 @@
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::hash::Hash;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use cadence::prelude::*;
 use slog::{Logger, debug, warn};
-use startup::{Budget, Metrics, Rank, Telemetry};
+use startup::{Budget, Metrics, Pauses, Rank, Telemetry};
 use tokio::time::Instant;
 
 /// Time between two rounds of metrics.
@@ -20,6 +20,7 @@
     due: Instant,
     metrics: Metrics,
     budget: Budget,
+    pauses: Pauses,
     /// For lines about what the process believes; they need no budget.
     pub(crate) log: Logger,
 }
@@ -31,6 +32,7 @@
             due: now + INTERVAL,
             metrics: telemetry.metrics.clone(),
             budget: Budget::new(telemetry.flow_lines, now),
+            pauses: Pauses::new(now, SystemTime::now()),
             log: telemetry.log.clone(),
         }
     }
@@ -49,6 +51,14 @@
         self.check(sent);
     }
 
+    /// Notes that the loop waited from `since`, until `due` at the latest.
+    pub(crate) fn woke(&self, since: Instant, due: Instant) {
+        if let Some(late) = Pauses::late(since, due, Instant::now()) {
+            let ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+            warn!(self.log, "this process was not run"; "ms" => ms);
+        }
+    }
+
     /// Sends what was counted, once a second; `gauges` are read only then.
     pub(crate) fn send<const N: usize>(
         &mut self,
@@ -59,6 +69,9 @@
             return;
         }
         self.due = now + INTERVAL;
+        if let Some(ms) = self.pauses.moved(now, SystemTime::now()) {
+            warn!(self.log, "the time of day moved: it was set, or the VM was suspended"; "ms" => ms);
+        }
         let omitted = self.budget.omitted();
         if omitted > 0 {
             warn!(self.log, "lines about flows left out"; "count" => omitted);
--- a/crates/trace/src/clocks.rs
+++ b/crates/trace/src/clocks.rs
@@ -1,47 +1,50 @@
 //! How far the clocks of VMs are apart.
+//!
+//! Packets need milliseconds from one VM to the next, so among the differences
+//! between lines about one flow the true difference of two clocks is the one
+//! that nearly every flow shows. Differences between other lines of a flow,
+//! which lives for a minute and visits a VM more than once, are spread.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Line;
 
 /// Difference below which clocks count as equal, in microseconds: packets need that long, too.
 const TOLERATED_US: i64 = 50_000;
 
-/// Flows that two VMs must both log before their clocks are compared.
+/// Flows that must show a difference before clocks are corrected by it.
 const LEAST_FLOWS: usize = 3;
 
+/// Lines of a VM about one flow that are compared.
+const COMPARED: usize = 16;
+
 /// What to add to the times of each VM.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Offsets(BTreeMap<Box<str>, i64>);
 
+/// How much later one VM logs the same flows than another.
+struct Link<'a> {
+    ends: (&'a str, &'a str),
+    /// In microseconds.
+    apart: i64,
+    flows: usize,
+}
+
 impl Offsets {
-    /// Compares the first lines about each flow. VMs that share no flows keep their times.
+    /// Compares the lines about the flows that two VMs log. VMs that share too few keep their times.
     #[must_use]
     pub fn estimate(lines: &[Line]) -> Self {
-        let apart = differences(lines);
-        let nodes: BTreeSet<&str> = lines.iter().map(|line| &*line.node).collect();
+        let mut links = links(lines);
+        links.sort_by_key(|link| std::cmp::Reverse(link.flows));
         let mut offsets = BTreeMap::new();
-        for first in nodes {
+        for first in lines.iter().map(|line| &*line.node) {
             if offsets.contains_key(first) {
                 continue;
             }
             offsets.insert(Box::from(first), 0);
-            let mut next = VecDeque::from([first]);
-            while let Some(at) = next.pop_front() {
-                let own = offsets.get(at).copied().unwrap_or(0);
-                for ((_, other), apart) in
-                    apart.range((at, "")..).take_while(|((a, _), _)| *a == at)
-                {
-                    if !offsets.contains_key(*other) {
-                        let rounded = if apart.abs() < TOLERATED_US {
-                            0
-                        } else {
-                            *apart
-                        };
-                        offsets.insert(Box::from(*other), own - rounded);
-                        next.push_back(other);
-                    }
-                }
+            // The link that most flows show leads to the next VM.
+            while let Some((node, offset)) = links.iter().find_map(|link| link.next(&offsets)) {
+                offsets.insert(node, offset);
             }
         }
         offsets.retain(|_, offset| *offset != 0);
@@ -60,30 +63,61 @@
     }
 }
 
-/// Median of how much later, in microseconds, the second VM logs the flows of the first.
-fn differences(lines: &[Line]) -> BTreeMap<(&str, &str), i64> {
-    let mut firsts: BTreeMap<&str, BTreeMap<&str, i64>> = BTreeMap::new();
+impl Link<'_> {
+    /// The end that has no offset yet, if the other has one.
+    fn next(&self, offsets: &BTreeMap<Box<str>, i64>) -> Option<(Box<str>, i64)> {
+        let (a, b) = self.ends;
+        match (offsets.get(a), offsets.get(b)) {
+            (Some(offset), None) => Some((b.into(), offset - self.apart)),
+            (None, Some(offset)) => Some((a.into(), offset + self.apart)),
+            _ => None,
+        }
+    }
+}
+
+fn links(lines: &[Line]) -> Vec<Link<'_>> {
+    let mut times: BTreeMap<&str, BTreeMap<&str, Vec<i64>>> = BTreeMap::new();
     for line in lines {
         if let Some(flow) = line.flow() {
-            let first = firsts.entry(flow).or_default();
-            let first = first.entry(&line.node).or_insert(line.time_us);
-            *first = line.time_us.min(*first);
+            let of_flow = times.entry(flow).or_default();
+            of_flow.entry(&line.node).or_default().push(line.time_us);
         }
     }
-    let mut all: BTreeMap<(&str, &str), Vec<i64>> = BTreeMap::new();
-    for nodes in firsts.values() {
+    let mut all: BTreeMap<(&str, &str), Vec<(i64, usize)>> = BTreeMap::new();
+    for (flow, nodes) in times.values().enumerate() {
         for (a, at_a) in nodes {
-            for (b, at_b) in nodes.iter().filter(|(b, _)| *b != a) {
-                all.entry((a, b)).or_default().push(at_b - at_a);
+            for (b, at_b) in nodes.range(*a..).skip(1) {
+                let apart = all.entry((a, b)).or_default();
+                for from in at_a.iter().take(COMPARED) {
+                    apart.extend(at_b.iter().take(COMPARED).map(|to| (to - from, flow)));
+                }
             }
         }
     }
-    all.retain(|_, times| times.len() >= LEAST_FLOWS);
-    let median = |mut times: Vec<i64>| {
-        times.sort_unstable();
-        times[times.len() / 2]
+    let link = |(ends, mut apart): ((_, _), Vec<(i64, usize)>)| {
+        apart.sort_unstable();
+        let (apart, flows) = most_shown(&apart);
+        (flows >= LEAST_FLOWS).then_some(Link { ends, apart, flows })
+    };
+    all.into_iter().filter_map(link).collect()
+}
+
+/// Difference that most flows show, and how many; 0 if half as many show none.
+fn most_shown(apart: &[(i64, usize)]) -> (i64, usize) {
+    let flows = |span: &[(i64, usize)]| {
+        let flows: BTreeSet<usize> = span.iter().map(|(_, flow)| *flow).collect();
+        flows.len()
     };
-    all.into_iter()
-        .map(|(key, times)| (key, median(times)))
-        .collect()
+    let until = |from: i64| apart.partition_point(|(time, _)| *time < from);
+    let equal = flows(&apart[until(-TOLERATED_US)..until(TOLERATED_US)]);
+    let spans = (0..apart.len()).map(|first| {
+        let end = until(apart[first].0 + TOLERATED_US);
+        let span = &apart[first..end];
+        (flows(span), span[span.len() / 2].0)
+    });
+    let (most, time) = spans.max_by_key(|(flows, _)| *flows).unwrap_or_default();
+    if equal * 2 >= most {
+        return (0, equal.max(1));
+    }
+    (time, most)
 }
--- a/crates/trace/src/search.rs
+++ b/crates/trace/src/search.rs
@@ -41,7 +41,8 @@
         let offsets = Offsets::estimate(lines);
         let named: Vec<&Line> = lines.iter().filter(|line| line.names(&self.id)).collect();
         let times = || named.iter().map(|line| offsets.time_us(line));
-        let nodes: BTreeSet<&str> = named.iter().map(|line| &*line.node).collect();
+        let process = |line: &Line| (line.node.clone(), line.program.clone());
+        let processes: BTreeSet<_> = named.iter().map(|line| process(line)).collect();
         let span = times().min().zip(times().max());
         let belongs = |line: &Line| {
             let Some((first, last)) = span else {
@@ -49,7 +50,7 @@
             };
             let time = offsets.time_us(line);
             let near = (first - self.around_us..=last + self.around_us).contains(&time);
-            near && line.flow().is_none() && nodes.contains(&*line.node)
+            near && line.flow().is_none() && processes.contains(&process(line))
         };
         let mut found: Vec<Found> = lines
             .iter()
--- a/crates/trace/tests/trace.rs
+++ b/crates/trace/tests/trace.rs
@@ -116,6 +116,50 @@
     assert!((2_900_000..3_100_000).contains(&corrected[0].1.abs()));
 }
 
+/// Guards against clocks that seem seconds apart because a VM logs most flows only long after
+/// another, when it is asked for them.
+#[test]
+fn late_lines_about_a_flow_move_no_clock() {
+    let mut lines = Vec::new();
+    for port in 0..20 {
+        let flow = format!("1.1.1.1:{port}>9.9.9.9:9");
+        let at = i64::from(port) * 100;
+        lines.push(line(at, "b-1", "SYN sent", Some(&flow)));
+        lines.push(line(at + 1_500 + at * 3, "b-1", "searched", Some(&flow)));
+        lines.push(line(at + 1_503 + at * 3, "a-1", "passed on", Some(&flow)));
+    }
+    let trace = search("1.1.1.1:3", 0).run(&lines);
+    assert_eq!(trace.offsets.corrected().count(), 0, "{:?}", trace.offsets);
+}
+
+/// Guards against a few flows between two VMs that outweigh the many which each shares with a third.
+#[test]
+fn the_links_that_most_flows_show_are_used_first() {
+    let mut lines = Vec::new();
+    for port in 0..40 {
+        let flow = format!("1.1.1.1:{port}>9.9.9.9:9");
+        let at = port * 100;
+        lines.push(line(at, "b-1", "SYN sent", Some(&flow)));
+        let agent = if port % 2 == 0 { "a-1" } else { "a-2" };
+        lines.push(line(at + 2, agent, "passed on", Some(&flow)));
+        // The second agent is asked 700 ms later, about a few flows.
+        if port % 10 == 0 {
+            lines.push(line(at + 702, "a-2", "passed on", Some(&flow)));
+        }
+    }
+    let trace = search("1.1.1.1:0", 0).run(&lines);
+    assert_eq!(trace.offsets.corrected().count(), 0, "{:?}", trace.offsets);
+}
+
+/// Guards against lines of another process on the same VM that drown those about the flow.
+#[test]
+fn other_programs_of_the_same_vm_stay_out() {
+    let mut control = line(900, "b-1", "call not answered here", None);
+    control.program = "control".into();
+    let lines = [control, line(1_000, "b-1", "SYN sent", Some(FLOW))];
+    assert_eq!(messages(&search(FLOW, 500), &lines), ["SYN sent".into()]);
+}
+
 quickcheck! {
     /// Guards against a line that ends the search.
     fn any_text_is_borne(text: String, id: String) -> bool {
