Compare clocks of long logs in linear time, and rank lines about returned copies as usual

Cause: a trace over 168 MB of logs did not end in ten minutes, because every difference between two machines was compared with every other. After a restart of all machines 7,218 lines 'dropped reason=stray' stood before the unusual ones in the budget, each about a packet that had gone on when it was offered.

Change: the span of differences slides and counts its flows. Returned copies are logged as usual lines.

--- a/crates/opaque/src/agent/packets.rs
+++ b/crates/opaque/src/agent/packets.rs
@@ -307,7 +307,12 @@
     fn dropped(&mut self, flow: Flow, reason: DropReason) {
         self.tally.count(Outcome::Dropped(reason));
         let epoch = self.forwarder.epoch();
-        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+        // Copies of offered packets went on before; after a restart there are thousands a second.
+        let rank = match reason {
+            DropReason::Stray => Rank::Usual,
+            _ => Rank::Unusual,
+        };
+        if let Some(log) = self.tally.line(rank, Instant::now()) {
             warn!(log, "dropped"; "flow" => %flow, "reason" => %reason, "epoch" => epoch);
         }
     }
--- a/crates/trace/src/clocks.rs
+++ b/crates/trace/src/clocks.rs
@@ -5,7 +5,7 @@
 //! that nearly every flow shows. Differences between other lines of a flow,
 //! which lives for a minute and visits a VM more than once, are spread.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::Line;
 
@@ -102,22 +102,32 @@
     all.into_iter().filter_map(link).collect()
 }
 
-/// Difference that most flows show, and how many; 0 if half as many show none.
+/// Difference that most flows show, and how many; 0 if half as many show none. `apart` is sorted.
 fn most_shown(apart: &[(i64, usize)]) -> (i64, usize) {
-    let flows = |span: &[(i64, usize)]| {
-        let flows: BTreeSet<usize> = span.iter().map(|(_, flow)| *flow).collect();
-        flows.len()
-    };
-    let until = |from: i64| apart.partition_point(|(time, _)| *time < from);
-    let equal = flows(&apart[until(-TOLERATED_US)..until(TOLERATED_US)]);
-    let spans = (0..apart.len()).map(|first| {
-        let end = until(apart[first].0 + TOLERATED_US);
-        let span = &apart[first..end];
-        (flows(span), span[span.len() / 2].0)
-    });
-    let (most, time) = spans.max_by_key(|(flows, _)| *flows).unwrap_or_default();
-    if equal * 2 >= most {
-        return (0, equal.max(1));
+    let until = |end: i64| apart.partition_point(|(time, _)| *time < end);
+    let near = &apart[until(-TOLERATED_US)..until(TOLERATED_US)];
+    let equal: HashSet<usize> = near.iter().map(|(_, flow)| *flow).collect();
+    let (mut most, mut at) = (0, 0);
+    // Flows of the span between `first` and `end`, with how often each shows a difference there.
+    let mut span: HashMap<usize, usize> = HashMap::new();
+    let mut end = 0;
+    for (first, (time, flow)) in apart.iter().enumerate() {
+        while end < apart.len() && apart[end].0 < time + TOLERATED_US {
+            *span.entry(apart[end].1).or_default() += 1;
+            end += 1;
+        }
+        if span.len() > most {
+            (most, at) = (span.len(), apart[first.midpoint(end)].0);
+        }
+        if let Some(shown) = span.get_mut(flow) {
+            *shown -= 1;
+            if *shown == 0 {
+                span.remove(flow);
+            }
+        }
+    }
+    if equal.len() * 2 >= most {
+        return (0, equal.len());
     }
-    (time, most)
+    (at, most)
 }
