Give few flows to backend servers that end requests without an answer

Change: an agent counts requests that its backend server answers and those that it resets while they are in progress. It remains the last resort of a SYN that no sibling can take, so that a service whose backend servers all fail part of their requests is still served. A reset by the backend server and the change of this state are logged. Ruled out: counting any reset, which would condemn healthy backend servers for idle flows that they close; taking the backend server out of the table through control, which takes seconds and needs control.

Backend servers that fail with an error inside the answer can't be seen at this layer.

Tests: forwarding failures, of which three fail without the change.

--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -134,6 +134,10 @@
     Redirect,
     /// Every slot is taken.
     Busy,
+    /// The backend server ends many requests without an answer.
+    Failing,
+    /// A failing backend server is tried.
+    Probe,
     /// A sibling has fewer open flows.
     Unbalanced,
     /// The backend server takes no new flows, or there is none.
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -11,6 +11,7 @@
 use wire::{Candidate, Load, Notice};
 
 use crate::balance::Siblings;
+use crate::failures::Failures;
 use crate::held::{Held, Part};
 use crate::occupancy::{Busy, Occupancy};
 use crate::pending::{Offers, Waiting};
@@ -54,6 +55,7 @@
     /// Flows that are open here.
     pub(crate) open: u32,
     pub(crate) occupancy: Occupancy,
+    pub(crate) failures: Failures,
     pub(crate) redirects: Owners<Candidate>,
     pub(crate) offers: Offers,
     pub(crate) waiting: Waiting,
@@ -86,6 +88,7 @@
             held: HashMap::new(),
             open: 0,
             occupancy: Occupancy::default(),
+            failures: Failures::default(),
             redirects: Owners::new(settings.redirects, settings.redirect_ttl),
             offers: Offers::new(settings.returned),
             waiting: Waiting::new(),
@@ -158,6 +161,18 @@
         }
     }
 
+    /// Load as other agents are to see it: a failing backend server is the heaviest.
+    #[must_use]
+    pub fn offered_load(&self) -> Load {
+        let load = self.load();
+        let busy = if self.is_failing() {
+            u16::MAX
+        } else {
+            load.busy
+        };
+        Load { busy, ..load }
+    }
+
     /// Takes what was timed since the last call.
     pub fn times(&mut self) -> std::vec::Drain<'_, (Timing, Duration)> {
         self.times.drain(..)
@@ -169,6 +184,12 @@
         self.silent.is_some()
     }
 
+    /// Whether the backend server ends many requests without an answer.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.failures.is_failing()
+    }
+
     /// Flows held here, ended ones included.
     #[must_use]
     pub fn held(&self) -> usize {
@@ -247,6 +268,7 @@
         // The map's order is random.
         held.sort_unstable_by_key(|(flow, _)| *flow);
         self.occupancy.clear();
+        self.failures = Failures::default();
         self.open = 0;
         for (flow, held) in held {
             if held.established && held.ended.is_none() {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -16,10 +16,12 @@
 //! A SYN visits candidates until one accepts: the first whose backend server
 //! has a free slot and no more open flows than its siblings. If none has, the
 //! lightest one visited gets it, and keeps it while its backend server has as
-//! many requests as it can serve soon.
+//! many requests as it can serve soon. A backend server that ends requests
+//! without an answer counts as the heaviest.
 
 mod balance;
 mod event;
+mod failures;
 mod forwarder;
 mod held;
 mod homes;
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -28,7 +28,11 @@
         };
         let before = held.ended.is_some();
         let pending = held.pending.take();
+        let fails = segment.rst && held.established && !before && held.busy.is_some();
         let answers = held.outbound(now, segment);
+        if fails {
+            self.failures.failed();
+        }
         if let Some(pending) = &pending {
             let time = now.saturating_duration_since(pending.at);
             self.times.push((Timing::SynAnswer, time));
@@ -37,6 +41,7 @@
             if let Some(Busy::Working(since)) = held.busy {
                 let time = now.saturating_duration_since(since);
                 self.times.push((Timing::Request, time));
+                self.failures.answered();
                 if std::mem::take(&mut held.long) {
                     self.occupancy.worked(time);
                 }
--- a/crates/forwarding/src/placing.rs
+++ b/crates/forwarding/src/placing.rs
@@ -107,12 +107,20 @@
         if !self.accepts() {
             return self.onward(flow, header, Reason::NotAccepting);
         }
-        let load = self.load();
+        let load = self.offered_load();
         let mut header = *header;
         let lighter = header.hints.lightest.is_none_or(|(_, least)| load < least);
         if lighter {
             header.hints.lightest = Some((header.hop, load));
         }
+        if self.is_failing() {
+            let probes = self.load().is_free() && self.failures.probe(now, self.settings.probe);
+            return if probes {
+                Place::Here(Reason::Probe)
+            } else {
+                self.onward(flow, &header, Reason::Failing)
+            };
+        }
         if !load.is_free() {
             return self.onward(flow, &header, Reason::Busy);
         }
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -32,6 +32,8 @@
     pub load_interval: Duration,
     /// Siblings that get a load notice at a time.
     pub load_fanout: usize,
+    /// Time between two flows that a failing backend server gets, so that its recovery is seen.
+    pub probe: Duration,
     /// Longest time for which a request without an answer counts as in progress.
     pub busy_limit: Duration,
     /// Time for which an accepted flow keeps a slot until its request arrives.
@@ -65,6 +67,7 @@
             load_ttl: Duration::from_secs(2),
             load_interval: Duration::from_millis(250),
             load_fanout: 16,
+            probe: Duration::from_millis(200),
             busy_limit: Duration::from_secs(2),
             request_wait: Duration::from_millis(100),
             full: 1_200,
--- a/crates/forwarding/tests/all/main.rs
+++ b/crates/forwarding/tests/all/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed set-up ends the test")]
 
 mod common;
+mod failures;
 mod fleet;
 mod flows;
 mod lost;
--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -107,6 +107,7 @@
             service: None,
             known: None,
             silent: false,
+            failing: false,
             tally: Tally::new(telemetry, Instant::now()),
         };
         tokio::spawn(worker.run(watcher.view(), receiver));
--- a/crates/opaque/src/agent/outcome.rs
+++ b/crates/opaque/src/agent/outcome.rs
@@ -25,6 +25,9 @@
     /// Sent to the caller.
     #[display("replied")]
     Replied,
+    /// The backend server reset the flow.
+    #[display("ended")]
+    Ended,
     /// The caller got a reset.
     #[display("reset.{_0}")]
     Reset(Reason),
--- a/crates/opaque/src/agent/packets.rs
+++ b/crates/opaque/src/agent/packets.rs
@@ -45,6 +45,8 @@
     pub(super) known: Option<Backend>,
     /// Whether the backend server left a SYN unanswered, as logged.
     pub(super) silent: bool,
+    /// Whether the backend server failed requests when last looked at.
+    pub(super) failing: bool,
     pub(super) tally: Tally<Outcome>,
 }
 
@@ -123,6 +125,9 @@
                 Ok(Outbound::Reply(segment)) => {
                     self.forwarder
                         .handle(now, Event::Outbound(&segment), actions);
+                    if segment.rst {
+                        self.ended(segment.flow);
+                    }
                     segment
                 }
                 Ok(Outbound::Returned(segment)) => {
@@ -317,6 +322,16 @@
         }
     }
 
+    /// Logs that the backend server reset a flow.
+    fn ended(&mut self, flow: Flow) {
+        self.tally.count(Outcome::Ended);
+        let (load, failing) = (self.forwarder.load(), self.forwarder.is_failing());
+        if let Some(log) = self.tally.line(Rank::Unusual, Instant::now()) {
+            warn!(log, "reset by the backend server"; "flow" => %flow, "failing" => failing,
+                "busy" => load.busy, "slots" => load.slots, "open" => load.open);
+        }
+    }
+
     fn caller(&self, flow: Flow) -> SocketAddr {
         (*flow.caller.ip(), self.callers).into()
     }
@@ -337,7 +352,7 @@
             service,
             flows,
             owner: self.me,
-            load: self.forwarder.load(),
+            load: self.forwarder.offered_load(),
         };
         match wire::encode_notice(&self.key, &notice, out) {
             Ok(()) => self.send(Side::Fabric, out, to),
@@ -362,7 +377,7 @@
         }
     }
 
-    /// Sends metrics, and logs when the backend server falls silent or is heard again.
+    /// Sends metrics, and logs when the backend server falls silent, fails or recovers.
     fn measure(&mut self) {
         self.tally.count(Outcome::Round);
         for (timing, time) in self.forwarder.times() {
@@ -380,6 +395,18 @@
                 info!(self.tally.log, "the backend server is heard again");
             }
         }
+        let failing = self.forwarder.is_failing();
+        if failing != self.failing {
+            self.failing = failing;
+            if failing {
+                warn!(
+                    self.tally.log,
+                    "the backend server ends requests without an answer; it gets few new flows"
+                );
+            } else {
+                info!(self.tally.log, "the backend server answers requests again");
+            }
+        }
         let forwarder = &self.forwarder;
         self.tally.send(Instant::now(), || {
             let load = forwarder.load();
@@ -387,6 +414,7 @@
                 ("open", load.open.into()),
                 ("busy", load.busy.into()),
                 ("held", forwarder.held() as u64),
+                ("failing", forwarder.is_failing().into()),
                 ("waiting", forwarder.waits() as u64),
                 ("redirects", forwarder.redirects() as u64),
                 ("epoch", forwarder.epoch()),
