--- a/crates/trace/src/search.rs
+++ b/crates/trace/src/search.rs
@@ -9,8 +9,8 @@
 pub struct Search {
     /// Flow, end of a flow, request id, host or any other value of a field.
     pub id: Box<str>,
-    /// Time before the first and after the last line about the id, in microseconds, from which lines
-    /// that are about no flow are shown as well.
+    /// Time around each line about the id, in microseconds, from which lines that are about no flow are
+    /// shown as well.
     pub around_us: i64,
 }
 
@@ -40,16 +40,16 @@
     pub fn run(&self, lines: &[Line]) -> Trace {
         let offsets = Offsets::estimate(lines);
         let named: Vec<&Line> = lines.iter().filter(|line| line.names(&self.id)).collect();
-        let times = || named.iter().map(|line| offsets.time_us(line));
+        let mut times: Vec<i64> = named.iter().map(|line| offsets.time_us(line)).collect();
+        times.sort_unstable();
         let process = |line: &Line| (line.node.clone(), line.program.clone());
         let processes: BTreeSet<_> = named.iter().map(|line| process(line)).collect();
-        let span = times().min().zip(times().max());
         let belongs = |line: &Line| {
-            let Some((first, last)) = span else {
-                return false;
-            };
             let time = offsets.time_us(line);
-            let near = (first - self.around_us..=last + self.around_us).contains(&time);
+            let next = times.partition_point(|named| *named < time - self.around_us);
+            let near = times
+                .get(next)
+                .is_some_and(|named| *named <= time + self.around_us);
             near && line.flow().is_none() && processes.contains(&process(line))
         };
         let mut found: Vec<Found> = lines
--- a/crates/trace/tests/trace.rs
+++ b/crates/trace/tests/trace.rs
@@ -151,6 +151,26 @@
     assert_eq!(trace.offsets.corrected().count(), 0, "{:?}", trace.offsets);
 }
 
+/// Guards against a flow of a minute that is drowned in what its processes believed all the while.
+#[test]
+fn beliefs_far_from_any_line_of_the_flow_stay_out() {
+    let lines = [
+        line(0, "b-1", "SYN sent", Some(FLOW)),
+        line(400, "b-1", "view in force", None),
+        line(30_000, "b-1", "view of noon", None),
+        line(59_600, "b-1", "this process was not run", None),
+        line(60_000, "b-1", "owner not known", Some(FLOW)),
+    ];
+    let found = messages(&search(FLOW, 500), &lines);
+    let expected = [
+        "SYN sent",
+        "view in force",
+        "this process was not run",
+        "owner not known",
+    ];
+    assert_eq!(found, expected.map(Box::from));
+}
+
 /// Guards against lines of another process on the same VM that drown those about the flow.
 #[test]
 fn other_programs_of_the_same_vm_stay_out() {
