Count routes apart from services in check

Cause: check subtracted profiles from all declarations and called the rest services, so a folder with one service and two routes had three services.

Change: each kind is counted by itself, and routes have a line of their own.

Test: routes_are_counted_apart_from_services failed with 3 services.

--- a/bin/jacinthsill/src/command/folder.rs
+++ b/bin/jacinthsill/src/command/folder.rs
@@ -17,6 +17,7 @@
 struct Checked {
     profiles: usize,
     services: usize,
+    routes: usize,
 }
 
 /// One change that control accepted.
@@ -38,16 +39,20 @@
 
 pub fn check(output: Output, options: &Check) -> Result<Code, CliError> {
     let wanted = read_folder(&options.dir)?;
-    let profiles = wanted.iter().filter(|d| d.kind() == "profile").count();
+    let count = |kind: &str| wanted.iter().filter(|d| d.kind() == kind).count();
     let checked = Checked {
-        profiles,
-        services: wanted.len() - profiles,
+        profiles: count("profile"),
+        services: count("service"),
+        routes: count("route"),
     };
     text::print(output, &checked, |out| {
         out.push(format!(
             "{} profiles and {} services are valid",
             checked.profiles, checked.services
         ));
+        if checked.routes > 0 {
+            out.push(format!("{} routes are valid", checked.routes));
+        }
     });
     Ok(Code::Done)
 }
--- a/bin/jacinthsill/tests/all/codes.rs
+++ b/bin/jacinthsill/tests/all/codes.rs
@@ -134,3 +134,26 @@
         assert!(found, "{arguments:?}: {text}");
     }
 }
+
+/// Guards against a count of services that includes the routes.
+#[test]
+fn routes_are_counted_apart_from_services() {
+    let dir = tempfile::tempdir().unwrap();
+    let text = r#"{
+        "profiles": [{ "name": "p", "protocol": "opaque" }],
+        "services": [{ "name": "s", "tenant": "t", "profile": "p" }],
+        "routes": [
+            { "name": "one", "address": "10.0.0.1:80", "targets": [{ "service": "s", "weight": 1 }],
+              "idempotent": true, "deadline_ms": 500, "latency_ms": 100 },
+            { "name": "two", "address": "10.0.0.2:80", "targets": [{ "service": "s", "weight": 1 }],
+              "idempotent": true, "deadline_ms": 500, "latency_ms": 100 }
+        ]
+    }"#;
+    std::fs::write(dir.path().join("all.jsonc"), text).unwrap();
+    let folder = dir.path().display().to_string();
+    let checked = output("127.0.0.1:1", &["check", &folder, "--output", "json"]);
+    assert!(checked.status.success(), "{checked:?}");
+    let counted: serde_json::Value = serde_json::from_slice(&checked.stdout).unwrap();
+    assert_eq!(counted["services"], 1);
+    assert_eq!(counted["routes"], 2);
+}
