Pass over agents that are being restarted, and let them say so

Three rolling restarts overlapped. A search goes from agent to agent; six searches in a row came upon one whose process was between stop and start (0.55 s): at side-med-a-8 twice, at the owner twice, at side-med-a-13, and once unexplained after side-med-a-9. Siblings learn of a stop only from control, 0.25 s later and more, or after 1.5 s of silence.

Change: an agent that stops tells every sibling, and one that starts tells them with its first table. A search passes over agents between the two, for 1.5 s at most, and then ends without a reset, as their backend servers may hold the flow. Ruled out: several searches at once, which cost as many datagrams again for each packet of a flow that is gone.

A search still ends where an agent was killed less than 1.5 s ago; the caller's next packet starts another.

Tests: three in forwarding tests search; they don't build without the change.

--- a/bin/agent/src/packets.rs
+++ b/bin/agent/src/packets.rs
@@ -266,6 +266,7 @@
             return;
         };
         let notice = Notice {
+            leaving: false,
             service,
             flows,
             owner: self.me,
--- a/crates/dispatch/tests/all/common.rs
+++ b/crates/dispatch/tests/all/common.rs
@@ -135,6 +135,7 @@
 
     pub fn notice(&mut self, owner: u8, flow: Flow) {
         let notice = Notice {
+            leaving: false,
             service: SERVICE,
             flows: vec![flow],
             owner: candidate(owner),
--- a/crates/flows/tests/agents.rs
+++ b/crates/flows/tests/agents.rs
@@ -202,6 +202,7 @@
                 continue;
             }
             let notice = Notice {
+                leaving: false,
                 service: SERVICE,
                 flows,
                 owner,
--- a/crates/flows/tests/rules.rs
+++ b/crates/flows/tests/rules.rs
@@ -178,6 +178,7 @@
     fn learn(&mut self, flow: Flow, owner: u16) -> Vec<Action> {
         let (owner, flows) = (agent(owner), vec![flow]);
         self.event(Event::Notice(&Notice {
+            leaving: false,
             service: SERVICE,
             flows,
             owner,
--- a/crates/forwarding/src/balance.rs
+++ b/crates/forwarding/src/balance.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use units::DataCentre;
+use units::{DataCentre, Incarnation};
 use wire::{Candidate, Load};
 
 use crate::forwarder::Other;
@@ -34,6 +34,8 @@
     load: Option<(Load, Instant)>,
     /// When it was heard last, or came into the table.
     heard: Instant,
+    /// Process that said that it stops, and when.
+    left: Option<(Incarnation, Instant)>,
 }
 
 /// The other members of the service.
@@ -58,7 +60,8 @@
                     centre: member.centre.clone(),
                     takes_work: member.takes_work,
                     load: old.as_ref().and_then(|old| old.load),
-                    heard: old.map_or(now, |old| old.heard),
+                    heard: old.as_ref().map_or(now, |old| old.heard),
+                    left: old.and_then(|old| old.left),
                 };
                 (candidate.address, sibling)
             })
@@ -66,13 +69,28 @@
     }
 
     /// Takes a load from a notice.
-    pub(crate) fn set(&mut self, address: SocketAddrV4, load: Load, now: Instant) {
-        if let Some(sibling) = self.all.get_mut(&address) {
+    pub(crate) fn set(&mut self, owner: &Candidate, load: Load, now: Instant) {
+        if let Some(sibling) = self.all.get_mut(&owner.address) {
             sibling.load = Some((load, now));
             sibling.heard = now;
+            // A notice may overtake the last one of its process.
+            sibling.left = sibling.left.filter(|(left, _)| *left == owner.incarnation);
         }
     }
 
+    /// Notes that the process of a sibling stops.
+    pub(crate) fn leave(&mut self, owner: &Candidate, now: Instant) {
+        if let Some(sibling) = self.all.get_mut(&owner.address) {
+            sibling.left = Some((owner.incarnation, now));
+        }
+    }
+
+    /// Whether the process of a sibling stopped just now and the next one was not heard yet.
+    pub(crate) fn is_between(&self, address: SocketAddrV4, now: Instant) -> bool {
+        let left = self.all.get(&address).and_then(|sibling| sibling.left);
+        left.is_some_and(|(_, at)| now < at + LEAST_SILENCE)
+    }
+
     /// Whether a sibling left out several notices in a row while most others were heard; each sends one
     /// to `fanout` of its siblings per interval.
     pub(crate) fn is_gone(
@@ -94,12 +112,8 @@
     /// Siblings that get the next load notices.
     pub(crate) fn receivers(&mut self, most: usize) -> Vec<SocketAddrV4> {
         let count = self.all.len();
-        let chosen = self
-            .all
-            .keys()
-            .cycle()
-            .skip(self.turn)
-            .take(most.min(count));
+        let most = most.min(count);
+        let chosen = self.all.keys().cycle().skip(self.turn).take(most);
         let chosen = chosen.copied().collect();
         self.turn = (self.turn + most) % count.max(1);
         chosen
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -55,6 +55,8 @@
     Returned(&'a Segment),
     /// A notice with a valid tag.
     Notice(&'a Notice),
+    /// This agent is about to stop.
+    Leave,
     /// Time passed; due at [`crate::Forwarder::deadline`].
     Tick,
 }
--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -67,6 +67,8 @@
     pub(crate) repeats: BTreeSet<(Instant, Flow)>,
     /// Times since the last call of [`Forwarder::times`].
     pub(crate) times: Vec<(Timing, Duration)>,
+    /// Whether this agent is about to stop.
+    pub(crate) leaving: bool,
     pub(crate) load_at: Instant,
     pub(crate) sweep_at: Instant,
 }
@@ -96,6 +98,7 @@
             reserved: Waiting::new(),
             repeats: BTreeSet::new(),
             times: Vec::new(),
+            leaving: false,
             load_at: now,
             sweep_at: now,
             settings,
@@ -130,6 +133,10 @@
             }
             Event::Table(table) => self.table(now, table, out),
             Event::Backend(backend) => self.change_backend(now, backend, out),
+            Event::Leave => {
+                self.leaving = true;
+                self.tell_all(out);
+            }
             Event::Tick => self.tick(now, out),
         }
         self.admit(now, out);
@@ -184,6 +191,12 @@
         self.silent.is_some()
     }
 
+    /// Whether this agent is about to stop, so that notices say so.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Whether the backend server ends many requests without an answer.
     #[must_use]
     pub fn is_failing(&self) -> bool {
@@ -227,6 +240,7 @@
         if !ours || table.epoch.0 <= self.epoch() {
             return;
         }
+        let first = self.centres.is_none();
         let centres = Centres::new(table);
         let me = self.me.address;
         let others = table.members.iter().filter(|m| m.packets != me);
@@ -242,6 +256,10 @@
             .collect();
         self.siblings.update(self.members.iter(), now);
         self.centres = Some(centres);
+        if first {
+            // Siblings may pass over this address because the process before said that it stops.
+            self.tell_all(out);
+        }
         self.register_moved(now, out);
     }
 
@@ -291,7 +309,11 @@
         if !ours || address == self.me.address {
             return;
         }
-        self.siblings.set(address, notice.load, now);
+        if notice.leaving {
+            self.siblings.leave(&notice.owner, now);
+        } else {
+            self.siblings.set(&notice.owner, notice.load, now);
+        }
         for flow in &notice.flows {
             if !self.held.get(flow).is_some_and(|held| held.established) {
                 self.redirects.put(*flow, notice.owner, now);
--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -3,7 +3,9 @@
 //! A packet visits the balancer's list, then every member in the order of
 //! their addresses, beginning at the flow's home. Each visit is added to a sum,
 //! so that the last agent knows whether every member was visited, however many
-//! there are.
+//! there are. Members whose process stopped a moment ago are passed over, but
+//! their backend servers may hold the flow, so that such a search ends without
+//! a reset.
 
 use std::net::SocketAddrV4;
 
@@ -95,6 +97,11 @@
         }
         while header.hints.sweep.is_none() && header.has_next() {
             header = header.next(header.flags);
+            let between = |target: Candidate| self.siblings.is_between(target.address, now);
+            if header.target().is_some_and(between) {
+                header.hints.doubtful = true;
+                continue;
+            }
             // Without its agent a backend server is out of reach, whatever it holds.
             if header
                 .target()
@@ -118,7 +125,9 @@
         list.truncate(MAX_CANDIDATES - 1);
         let mut here = header.hints.sweep.map(|_| self.me.address);
         while let Some(next) = self.next_in(&sweep, here, &list) {
-            if self.is_gone(next.address, now) {
+            let between = self.siblings.is_between(next.address, now);
+            header.hints.doubtful |= between;
+            if between || self.is_gone(next.address, now) {
                 sweep = sweep.visited(next.address);
                 here = Some(next.address);
                 continue;
--- a/crates/forwarding/src/sweep.rs
+++ b/crates/forwarding/src/sweep.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Tells every sibling the load, and whether this agent stops.
+    pub(crate) fn tell_all(&mut self, out: &mut Vec<Action>) {
+        for to in self.siblings.receivers(usize::MAX) {
+            let flows = Vec::new();
+            out.push(Action::Notify { to, flows });
+        }
+    }
+
     /// Forgets flows that are idle or ended, and requests that were given up.
     fn sweep(&mut self, now: Instant) {
         let Some(idle) = self.service.as_ref().map(|service| service.idle) else {
--- a/crates/forwarding/tests/all/common.rs
+++ b/crates/forwarding/tests/all/common.rs
@@ -267,6 +267,7 @@
 
     pub fn notice(&mut self, owner: u8, flows: Vec<Flow>, load: Load) {
         let notice = Notice {
+            leaving: false,
             service: SERVICE,
             flows,
             owner: candidate(owner),
@@ -275,6 +276,33 @@
         self.event(Event::Notice(&notice));
     }
 
+    /// Another agent says that it stops.
+    pub fn leaves(&mut self, owner: u8) {
+        self.event(Event::Notice(&Notice {
+            leaving: true,
+            ..self.owned(candidate(owner))
+        }));
+    }
+
+    /// The process that takes another agent's place says that it is there.
+    pub fn follows(&mut self, owner: u8) {
+        let owner = Candidate {
+            incarnation: Incarnation(99),
+            ..candidate(owner)
+        };
+        self.event(Event::Notice(&self.owned(owner)));
+    }
+
+    fn owned(&self, owner: Candidate) -> Notice {
+        Notice {
+            service: SERVICE,
+            flows: Vec::new(),
+            owner,
+            load: load(0, 2, 0),
+            leaving: false,
+        }
+    }
+
     /// Ticks until some time passed; what was done.
     pub fn after(&mut self, ms: u64) -> Vec<Action> {
         let end = self.now + Duration::from_millis(ms);
--- a/crates/forwarding/tests/all/fleet/world.rs
+++ b/crates/forwarding/tests/all/fleet/world.rs
@@ -433,6 +433,7 @@
                 Action::Notify { to, flows } => {
                     let member = &self.members[number];
                     let notice = Notice {
+                        leaving: false,
                         service: SERVICE,
                         flows,
                         owner: Candidate {
--- a/crates/forwarding/tests/all/search.rs
+++ b/crates/forwarding/tests/all/search.rs
@@ -254,3 +254,63 @@
         (usize::from(MEMBERS), not_held(flow(1)))
     );
 }
+
+/// Guards against searches that end at an agent which is being restarted: with three rolling
+/// restarts at once, six searches in a row came upon one, and the flow's own agent was not asked for
+/// three seconds.
+#[test]
+fn agents_that_stop_are_passed_over_until_the_next_process_is_heard() {
+    let mut agents = Agents::new(&older());
+    for rig in agents.0.values_mut() {
+        rig.leaves(21);
+        rig.leaves(12);
+    }
+    let (seen, last) = agents.send(&list(), flow(1), Some(30));
+    assert_eq!(last, Action::Deliver(Reason::Offer), "{seen:?}");
+    assert!(!seen.contains(&21) && !seen.contains(&12), "{seen:?}");
+    for rig in agents.0.values_mut() {
+        // The last load notice of the process may come late.
+        rig.notice(21, vec![], load(0, 2, 0));
+        rig.follows(12);
+    }
+    let (seen, _) = agents.send(&list(), flow(2), Some(30));
+    assert!(!seen.contains(&21) && seen.contains(&12), "{seen:?}");
+}
+
+/// Guards against the reset of a flow whose agent is being restarted.
+#[test]
+fn no_reset_while_a_member_is_passed_over() {
+    for away in [12, 21] {
+        let mut agents = Agents::new(&backend());
+        for rig in agents.0.values_mut() {
+            rig.leaves(away);
+        }
+        let (seen, last) = agents.send(&list(), flow(1), None);
+        assert_eq!(last, Action::Drop(DropReason::Unknown), "{seen:?}");
+        for rig in agents.0.values_mut() {
+            rig.follows(away);
+        }
+        let (_, last) = agents.send(&list(), flow(1), None);
+        assert_eq!(last, not_held(flow(1)));
+    }
+}
+
+/// Guards against siblings that go on sending to a process that stops, or that pass over the one
+/// which took its place: both are told to each sibling at once.
+#[test]
+fn every_sibling_hears_of_a_stop_and_of_a_start() {
+    let told = |actions: Vec<Action>| {
+        let notices = actions
+            .iter()
+            .filter(|action| matches!(action, Action::Notify { .. }));
+        notices.count()
+    };
+    let mut rig = Rig::bare();
+    let first = rig.event(Event::Table(&table(2, members())));
+    assert_eq!(told(first), usize::from(MEMBERS) - 1);
+    let next = rig.event(Event::Table(&table(3, members())));
+    assert_eq!(told(next), 0);
+    let last = rig.event(Event::Leave);
+    assert!(rig.agent.is_leaving());
+    assert_eq!(told(last), usize::from(MEMBERS) - 1);
+}
--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -156,15 +156,20 @@
     }
 
     async fn apply(&self, reported: Reported) {
+        self.tell(false).await;
+        if reported == Reported::Changed {
+            self.watcher.beat_now();
+        }
+    }
+
+    /// Lets the packet loop take a change.
+    async fn tell(&self, leaves: bool) {
         let (done, applied) = tokio::sync::oneshot::channel();
-        let change = packets::Change { done };
+        let change = packets::Change { leaves, done };
         // The packet loop only ends with the process.
         if self.changes.send(change).await.is_ok() {
             let _ = applied.await;
         }
-        if reported == Reported::Changed {
-            self.watcher.beat_now();
-        }
     }
 
     /// Whether a backend server reported lately.
@@ -173,9 +178,10 @@
         self.shared.reports().current(Instant::now()).is_some()
     }
 
-    /// Tells control that this member leaves, at most for `limit`, unless its backend server goes
+    /// Tells siblings that this process stops, and control that this member leaves, at most for `limit`, unless its backend server goes
     /// on: then the next process here finds its flows, and siblings must not take them for lost.
     pub async fn stop(&self, limit: Duration) {
+        self.tell(true).await;
         let current = self.shared.reports().current(Instant::now());
         if current.is_none_or(|backend| !backend.accepts) {
             // Without an answer the lease ends by itself.
--- a/crates/opaque/src/agent/packets.rs
+++ b/crates/opaque/src/agent/packets.rs
@@ -23,9 +23,10 @@
 /// Datagrams handled before other tasks get a turn.
 const BATCH: usize = 64;
 
-/// The backend server changed; answered once the packet loop knows.
+/// The backend server changed, or this agent stops; answered once the packet loop knows.
 #[derive(Debug)]
 pub(super) struct Change {
+    pub(super) leaves: bool,
     pub(super) done: oneshot::Sender<()>,
 }
 
@@ -349,6 +350,7 @@
     fn notify(&mut self, to: SocketAddr, flows: Vec<Flow>, out: &mut Vec<u8>) {
         let Some(service) = self.service else { return };
         let notice = Notice {
+            leaving: self.forwarder.is_leaving(),
             service,
             flows,
             owner: self.me,
@@ -449,7 +451,11 @@
     }
 
     fn change(&mut self, change: Change, buffers: &mut Buffers) {
-        self.update_backend(buffers);
+        if change.leaves {
+            self.event(Event::Leave, buffers);
+        } else {
+            self.update_backend(buffers);
+        }
         // The adapter may have given up on its caller.
         let _ = change.done.send(());
     }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -4,8 +4,8 @@
 use units::{Epoch, Flow, ServiceId};
 
 use crate::header::{
-    CANDIDATE_BYTES, Candidate, FIXED_BYTES, KIND_NOTICE, array, put_candidate, put_fixed,
-    take_candidate,
+    CANDIDATE_BYTES, Candidate, FIXED_BYTES, FLAGS_AT, KIND_NOTICE, array, put_candidate,
+    put_fixed, take_candidate,
 };
 use crate::load::{LOAD_BYTES, Load};
 use crate::{MAX_DATAGRAM, WireError};
@@ -16,6 +16,9 @@
 /// Bytes after the fixed part and before the flows: owner and its load.
 const OWNER_BYTES: usize = CANDIDATE_BYTES + LOAD_BYTES;
 
+/// Flag of an owner that is about to stop.
+const FLAG_LEAVING: u8 = 1;
+
 /// Most flows in one notice.
 pub const MAX_NOTICE_FLOWS: usize =
     (MAX_DATAGRAM - FIXED_BYTES - OWNER_BYTES - TAG_BYTES) / FLOW_BYTES;
@@ -31,6 +34,8 @@
     pub owner: Candidate,
     /// Load of the owner.
     pub load: Load,
+    /// The owner is about to stop; another process may take its place.
+    pub leaving: bool,
 }
 
 /// Writes a notice datagram to `out`, which is cleared first.
@@ -46,7 +51,7 @@
     put_fixed(
         out,
         KIND_NOTICE,
-        [0, count as u8, 0, 0],
+        [0, count as u8, u8::from(notice.leaving) * FLAG_LEAVING, 0],
         notice.service,
         Epoch(0),
     );
@@ -83,5 +88,6 @@
         flows,
         owner,
         load,
+        leaving: body[FLAGS_AT] & FLAG_LEAVING != 0,
     })
 }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -178,6 +178,7 @@
                 open: 17,
                 ..Load::default()
             },
+            leaving: count == 1,
         };
         encode_notice(&key(1), &notice, &mut out).unwrap();
         assert_eq!(decode(&key(1), &out), Ok(Message::Notice(notice)));
@@ -191,6 +192,7 @@
             open: 17,
             ..Load::default()
         },
+        leaving: false,
     };
     assert!(encode_notice(&key(1), &notice, &mut out).is_err());
 }
