Play randomized rounds of faults over real processes

Cause: each test injects one fault or a chosen pair; nothing played faults in series and overlapping while every promise was checked.

Change: a soak in the end-to-end tests.

Not covered: clocks that are set, disks that fail, connections that are reset, opaque flows.

--- a/tests/e2e/src/cluster.rs
+++ b/tests/e2e/src/cluster.rs
@@ -260,11 +260,19 @@
     /// # Panics
     /// When there is no such replica.
     pub async fn restart_control(&mut self, id: u64) {
+        self.launch_control(id);
+        self.controls[&id].process.ready().await;
+    }
+
+    /// The same without waiting until it is ready.
+    ///
+    /// # Panics
+    /// When there is no such replica.
+    pub fn launch_control(&mut self, id: u64) {
         let folder = self.folder.path().to_owned();
         let node = self.controls.get_mut(&id).expect("a known replica");
         let name = format!("control-{id}");
         node.process = Process::start(&folder, "control", &name, &node.settings);
-        node.process.ready().await;
     }
 
     fn control_addresses(&self) -> Vec<SocketAddr> {
--- a/tests/e2e/src/lib.rs
+++ b/tests/e2e/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod operator;
 pub mod ports;
 pub mod process;
+pub mod soak;
 pub mod traffic;
 
 pub use cluster::{AgentNode, Cluster, Shape};
