--- a/crates/forwarding/src/balance.rs
+++ b/crates/forwarding/src/balance.rs
@@ -86,7 +86,7 @@
     }
 
     /// Whether the process of a sibling stopped just now and the next one was not heard yet.
-    pub(crate) fn is_between(&self, address: SocketAddrV4, now: Instant) -> bool {
+    pub(crate) fn is_restarting(&self, address: SocketAddrV4, now: Instant) -> bool {
         let left = self.all.get(&address).and_then(|sibling| sibling.left);
         left.is_some_and(|(_, at)| now < at + LEAST_SILENCE)
     }
--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -97,8 +97,8 @@
         }
         while header.hints.sweep.is_none() && header.has_next() {
             header = header.next(header.flags);
-            let between = |target: Candidate| self.siblings.is_between(target.address, now);
-            if header.target().is_some_and(between) {
+            let restarting = |target: Candidate| self.siblings.is_restarting(target.address, now);
+            if header.target().is_some_and(restarting) {
                 header.hints.doubtful = true;
                 continue;
             }
@@ -125,9 +125,9 @@
         list.truncate(MAX_CANDIDATES - 1);
         let mut here = header.hints.sweep.map(|_| self.me.address);
         while let Some(next) = self.next_in(&sweep, here, &list) {
-            let between = self.siblings.is_between(next.address, now);
-            header.hints.doubtful |= between;
-            if between || self.is_gone(next.address, now) {
+            let restarting = self.siblings.is_restarting(next.address, now);
+            header.hints.doubtful |= restarting;
+            if restarting || self.is_gone(next.address, now) {
                 sweep = sweep.visited(next.address);
                 here = Some(next.address);
                 continue;
