Ask a replaced agent to stop only once in the soak

With a second replacement in a round, the soak sent SIGTERM to every agent replaced so far; a second request to stop ends an agent at once, with the flows that it still holds, as the operators' guide says.

Change: only the agent whose successor has just started is asked.

--- a/tests/e2e/src/soak/play.rs
+++ b/tests/e2e/src/soak/play.rs
@@ -58,8 +58,8 @@
     unused: BTreeSet<usize>,
     /// Processes that were ended on purpose: kind and index.
     ended: BTreeSet<(&'static str, usize)>,
-    /// Agent that is replaced next, and whether that goes on.
-    replaced: (usize, bool),
+    /// Agent that is replaced next, and the one whose successor runs already.
+    replaced: (usize, Option<usize>),
     /// Values that operators tried to set, in order; the last one acknowledged.
     tried: Vec<u64>,
     acknowledged: Option<u64>,
@@ -87,7 +87,7 @@
         cluster: Cluster::start(shape).await,
         unused: BTreeSet::new(),
         ended: BTreeSet::new(),
-        replaced: (REPLACED, false),
+        replaced: (REPLACED, None),
         tried: Vec::new(),
         acknowledged: None,
         change: None,
@@ -209,10 +209,11 @@
                 self.ended.insert(("agent", KILLED));
                 self.cluster.agents[KILLED].process.kill();
             }
-            Fault::AgentReplaced if !self.replaced.1 => {
+            Fault::AgentReplaced if self.replaced.1.is_none() => {
                 let host = self.cluster.agents[self.replaced.0].host.clone();
                 let next = self.cluster.start_agent("echo", &host, ports::free());
-                let old = std::mem::replace(&mut self.replaced, (next.await, true)).0;
+                let old = self.replaced.0;
+                self.replaced = (next.await, Some(old));
                 self.ended.insert(("agent", old));
             }
             Fault::Drain => {
@@ -273,12 +274,10 @@
                 process.signal(Signal::SIGCONT);
                 self.note_unknown();
             }
-            Fault::AgentReplaced if std::mem::take(&mut self.replaced.1) => {
-                let agents = self.cluster.agents.iter().enumerate();
-                for (index, agent) in agents {
-                    if self.ended.contains(&("agent", index)) {
-                        agent.process.signal(Signal::SIGTERM);
-                    }
+            Fault::AgentReplaced => {
+                // Once: a second request to stop ends what it still holds.
+                if let Some(old) = self.replaced.1.take() {
+                    self.cluster.agents[old].process.signal(Signal::SIGTERM);
                 }
             }
             _ => {}
