Give each test process a loopback address of its own

The tests chose a port on 127.0.0.1, released it and named it in a settings file; a process that took the port in between ended the agent.

Change: the three copies of the function that chose ports (agent, control, e2e) are one crate, `tests/ports`, which draws a loopback address for each test process at random. `broken_starts_say_why` now expects the exact address. Tests that need an address at which nobody listens take it from there too.

--- a/bin/agent/tests/agent.rs
+++ b/bin/agent/tests/agent.rs
@@ -7,7 +7,7 @@
 
 use api::{MemberState, Order};
 use netstack::FlowEnd;
-use rig::{LIMIT, Rig, command, echo, finish, free_port, header, key, until};
+use rig::{LIMIT, Rig, command, echo, finish, header, key, until};
 use rpc::Key;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -182,7 +182,7 @@
 /// one failed probe that takes it out.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_backend_server_is_drained() {
-    let backend = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let backend = SocketAddr::from(ports::free());
     let listener = TcpListener::bind(backend).await.expect("a port");
     let rig = Rig::with_backend(tcp(), backend).await;
     let agent = rig.agent(1).await;
--- a/bin/agent/tests/rig/mod.rs
+++ b/bin/agent/tests/rig/mod.rs
@@ -6,7 +6,6 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -48,20 +47,6 @@
     }
 }
 
-/// Port below those that the system gives out by itself, free for TCP and UDP.
-pub fn free_port() -> u16 {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = std::process::id() as u16 % 90 * 100;
-    loop {
-        let port = 20_000 + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % 9_000;
-        let udp = std::net::UdpSocket::bind(("127.0.0.1", port));
-        let tcp = std::net::TcpListener::bind(("127.0.0.1", port));
-        if udp.is_ok() && tcp.is_ok() {
-            return port;
-        }
-    }
-}
-
 pub struct Agent {
     pub candidate: Candidate,
     pub http: SocketAddr,
@@ -151,8 +136,8 @@
         std::fs::write(&key_file, hex).expect("a key file");
         let mut settings = serde_json::json!({
             "host": "storefront-1", "centre": "dc-1", "region": 0, "service": "storefront",
-            "packets": format!("127.0.0.1:{}", free_port()),
-            "http": format!("127.0.0.1:{}", free_port()),
+            "packets": ports::free(),
+            "http": ports::free(),
             "fabric": self.fabric.local_addr().expect("an address"),
             "backend": self.backend, "slots": 2, "weight": 100,
             "control": [self.control.address], "key_file": key_file, "incarnation": incarnation,
@@ -183,10 +168,15 @@
                 }
             }
         });
-        timeout(LIMIT, became_ready)
-            .await
-            .expect("in time")
-            .expect("ready");
+        let became_ready = timeout(LIMIT, became_ready).await.expect("in time");
+        if became_ready.is_err() {
+            let output = child.wait_with_output().await.expect("an end");
+            panic!(
+                "the agent ended before it was ready, {}: {}",
+                output.status,
+                String::from_utf8_lossy(&output.stderr)
+            );
+        }
         let agent = Agent {
             candidate: Candidate {
                 address: address("packets").parse().expect("an address"),
--- a/bin/control/tests/all/harness.rs
+++ b/bin/control/tests/all/harness.rs
@@ -1,10 +1,9 @@
 //! Control processes on loopback ports.
 
 use std::io::{BufRead, BufReader, Read};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -46,7 +45,7 @@
         };
         // Another process of the machine may take a port before a replica binds it.
         for _ in 0..5 {
-            group.addresses = free_addresses(size);
+            group.addresses = (0..size).map(|_| ports::free().into()).collect();
             for index in 0..size {
                 group.write_settings(index, |_| {});
             }
@@ -173,26 +172,6 @@
     }
 }
 
-/// Ports below those that the operating system gives to outgoing connections,
-/// one of which could take a port again before a process binds it, and those
-/// that other tests of this workspace use.
-const PORTS: std::ops::Range<u32> = 6_000..12_000;
-
-/// Free addresses that no other call of this process returned.
-pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let size = PORTS.end - PORTS.start;
-    let free = || {
-        let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        // Test processes that run at the same time start at different ports.
-        let port = PORTS.start + (std::process::id().wrapping_mul(64).wrapping_add(step)) % size;
-        let port = u16::try_from(port).unwrap();
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        TcpListener::bind(address).is_ok().then_some(address)
-    };
-    (0..size).filter_map(|_| free()).take(count).collect()
-}
-
 /// Runs a program to its end; ended after the limit.
 pub fn run(command: &mut Command) -> Output {
     let piped = command.stdout(Stdio::piped()).stderr(Stdio::piped());
--- a/bin/control/tests/all/start.rs
+++ b/bin/control/tests/all/start.rs
@@ -31,7 +31,8 @@
 fn broken_starts_say_why() {
     let mut group = Group::start(program(), 1);
     let port = refused(&group, &[]);
-    assert!(port.contains("cannot listen on 127.0.0.1:"), "{port}");
+    let taken = format!("cannot listen on {}:", group.addresses[0]);
+    assert!(port.contains(&taken), "{port}");
     assert!(port.contains("in use"), "{port}");
     group.kill(0);
 
--- a/bin/jacinthsill/tests/all/codes.rs
+++ b/bin/jacinthsill/tests/all/codes.rs
@@ -1,6 +1,6 @@
 //! Exit codes and output.
 
-use crate::harness::{Group, free_addresses};
+use crate::harness::Group;
 use crate::operators::{control, declarations, jacinthsill, output};
 
 /// Guards against scripts that can't tell success, failure, invalid input,
@@ -80,7 +80,7 @@
         assert_eq!(output.status.code(), Some(code), "{arguments:?}: {shown}");
         assert!(shown.contains(text), "{arguments:?}: {shown}");
     }
-    let nobody = free_addresses(1)[0].to_string();
+    let nobody = ports::free().to_string();
     let (code, _) = jacinthsill(&nobody, &["--timeout", "1", "list"]);
     assert_eq!(code, 5);
     assert_eq!(jacinthsill("nowhere", &["list"]).0, 2);
--- a/crates/requests/tests/suite/keys.rs
+++ b/crates/requests/tests/suite/keys.rs
@@ -72,10 +72,7 @@
 #[tokio::test]
 async fn a_refused_attempt_gives_its_claim_back() {
     let mut all = Agents::start(3).await;
-    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = closed.local_addr().unwrap();
-    drop(closed);
-    all.point(0, address);
+    all.point(0, ports::free().into());
     let key = header(&format!("{}-again", now()));
     let first = once(all.agents[0].caller, "POST /once", &key, "b").await;
     assert_eq!((first.status, first.outcome()), (503, "not-run"));
--- a/crates/requests/tests/suite/limits.rs
+++ b/crates/requests/tests/suite/limits.rs
@@ -193,10 +193,7 @@
     let handler = all.agents[0].handler();
     assert!(handler.healthy());
     assert_eq!(handler.load(0).slots, 1);
-    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let unreachable = closed.local_addr().unwrap();
-    drop(closed);
-    all.point(0, unreachable);
+    all.point(0, ports::free().into());
     // The first request makes two attempts; three failures are needed.
     once(address, "POST /once", "", "").await;
     assert!(all.agents[0].handler().healthy());
--- a/crates/requests/tests/suite/outcomes.rs
+++ b/crates/requests/tests/suite/outcomes.rs
@@ -97,10 +97,7 @@
 #[tokio::test]
 async fn an_unreachable_backend_server_means_not_run() {
     let mut all = Agents::start(1).await;
-    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = closed.local_addr().unwrap();
-    drop(closed);
-    all.point(0, address);
+    all.point(0, ports::free().into());
     let answer = once(all.agents[0].caller, "POST /once", "", "b").await;
     assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
     assert!(answer.header("retry-after").is_some());
--- a/tests/e2e/src/cluster.rs
+++ b/tests/e2e/src/cluster.rs
@@ -13,7 +13,7 @@
 use tempfile::TempDir;
 
 use crate::operator::Operator;
-use crate::{LIMIT, Process, eventually, ports};
+use crate::{LIMIT, Process, eventually};
 
 /// Secret of the tests.
 pub const KEY: [u8; 32] = [0x5a; 32];
--- a/tests/e2e/src/lib.rs
+++ b/tests/e2e/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod cluster;
 pub mod history;
 pub mod operator;
-pub mod ports;
 pub mod process;
 pub mod soak;
 pub mod traffic;
--- a/tests/e2e/src/soak/play.rs
+++ b/tests/e2e/src/soak/play.rs
@@ -17,7 +17,7 @@
 
 use super::schedule::{Fault, schedule};
 use crate::traffic::{Requests, echo_flows, finish};
-use crate::{Cluster, LIMIT, Operator, Shape, eventually, ports};
+use crate::{Cluster, LIMIT, Operator, Shape, eventually};
 
 /// Established flows of the TCP service.
 const FLOWS: usize = 60;
--- a/tests/e2e/tests/p1_flows.rs
+++ b/tests/e2e/tests/p1_flows.rs
@@ -65,7 +65,7 @@
         .apply(&cluster.declarations(), Duration::from_secs(5))
         .await;
     // Planned restart: the successor starts on its own port, then the old one is told to stop.
-    let (host, port) = (cluster.agents[1].host.clone(), e2e::ports::free());
+    let (host, port) = (cluster.agents[1].host.clone(), ports::free());
     cluster.start_agent("echo", &host, port).await;
     cluster.pause(1_500).await;
     cluster.agents[1].process.signal(Signal::SIGTERM);
--- a/tests/e2e/tests/p3_to_p5_requests.rs
+++ b/tests/e2e/tests/p3_to_p5_requests.rs
@@ -211,7 +211,7 @@
         match round {
             1 => cluster.agents[0].process.kill(),
             2 => {
-                let (host, port) = (cluster.agents[0].host.clone(), e2e::ports::free());
+                let (host, port) = (cluster.agents[0].host.clone(), ports::free());
                 cluster.start_agent("web", &host, port).await;
             }
             3 => cluster.agents[1].process.kill(),
