--- a/bin/jacinthsill/src/cli.rs
+++ b/bin/jacinthsill/src/cli.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use api::TargetKind;
+use platform::check::Role;
 use units::HostName;
 
 /// Form of the output.
@@ -64,6 +65,25 @@
     }
 }
 
+/// Settings file of a program on the users' platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsFile {
+    pub role: Role,
+    pub file: PathBuf,
+}
+
+impl FromStr for SettingsFile {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let parts = text.split_once('=');
+        let parts = parts.and_then(|(role, file)| Some((role.parse().ok()?, file.into())));
+        let (role, file) = parts
+            .ok_or_else(|| format!("{text:?} is not balancer=FILE, agent=FILE or control=FILE"))?;
+        Ok(Self { role, file })
+    }
+}
+
 xflags::xflags! {
     /// Declares profiles and services, announces planned changes and reads the
     /// report. Exit codes: 0 done, 1 failure, 2 usage or invalid declaration,
@@ -78,9 +98,13 @@
         /// Seconds until an unanswered request is given up; default 15.
         optional --timeout seconds: u64
 
-        /// Checks the declarations in a folder without control.
+        /// Checks the declarations in a folder, or files of the users' platform, without control.
         cmd check {
-            required dir: PathBuf
+            optional dir: PathBuf
+            /// Settings of a platform program as balancer=FILE, agent=FILE or control=FILE.
+            repeated --settings file: SettingsFile
+            /// Configuration that the platform's operator sends.
+            optional --configuration file: PathBuf
         }
         /// Shows what apply would change; exit code 4 if there is anything.
         cmd plan {
--- a/bin/jacinthsill/src/command/folder.rs
+++ b/bin/jacinthsill/src/command/folder.rs
@@ -7,19 +7,11 @@
 use units::Version;
 
 use super::{Context, change, new_key, seconds};
-use crate::cli::{Apply, Check, Output, Plan};
+use crate::cli::{Apply, Plan};
 use crate::client::Call;
 use crate::error::{CliError, Code};
 use crate::text;
 
-/// Result of `check`.
-#[derive(Debug, Serialize)]
-struct Checked {
-    profiles: usize,
-    services: usize,
-    routes: usize,
-}
-
 /// One change that control accepted.
 #[derive(Debug, Serialize)]
 struct Applied {
@@ -37,26 +29,6 @@
     in_force: Option<bool>,
 }
 
-pub fn check(output: Output, options: &Check) -> Result<Code, CliError> {
-    let wanted = read_folder(&options.dir)?;
-    let count = |kind: &str| wanted.iter().filter(|d| d.kind() == kind).count();
-    let checked = Checked {
-        profiles: count("profile"),
-        services: count("service"),
-        routes: count("route"),
-    };
-    text::print(output, &checked, |out| {
-        out.push(format!(
-            "{} profiles and {} services are valid",
-            checked.profiles, checked.services
-        ));
-        if checked.routes > 0 {
-            out.push(format!("{} routes are valid", checked.routes));
-        }
-    });
-    Ok(Code::Done)
-}
-
 pub async fn plan(context: &Context, options: &Plan) -> Result<Code, CliError> {
     let wanted = read_folder(&options.dir)?;
     let accepted = declarations(context).await?;
--- a/bin/jacinthsill/src/command/mod.rs
+++ b/bin/jacinthsill/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod change;
+mod check;
 mod folder;
 mod read;
 mod trace;
@@ -42,7 +43,7 @@
 pub fn run(options: &Jacinthsill) -> Result<Code, CliError> {
     let output = options.output.unwrap_or_default();
     match &options.subcommand {
-        JacinthsillCmd::Check(check) => return folder::check(output, check),
+        JacinthsillCmd::Check(check) => return check::check(output, check),
         JacinthsillCmd::Trace(options) => return trace::run(output, options),
         _ => {}
     }
@@ -60,7 +61,7 @@
 
 async fn dispatch(context: &Context, command: &JacinthsillCmd) -> Result<Code, CliError> {
     match command {
-        JacinthsillCmd::Check(check) => folder::check(context.output, check),
+        JacinthsillCmd::Check(check) => check::check(context.output, check),
         JacinthsillCmd::Plan(plan) => folder::plan(context, plan).await,
         JacinthsillCmd::Apply(apply) => folder::apply(context, apply).await,
         JacinthsillCmd::Get(get) => read::get(context, get).await,
--- a/bin/jacinthsill/src/error.rs
+++ b/bin/jacinthsill/src/error.rs
@@ -38,6 +38,9 @@
     /// The folder can't be used.
     #[error(transparent)]
     Declarations(#[from] DeclarationError),
+    /// A file of the users' platform can't be used.
+    #[error(transparent)]
+    Platform(#[from] platform::check::CheckError),
     /// Control refused the request as invalid.
     #[error("control refused {step}: {message}")]
     Invalid {
@@ -108,7 +111,9 @@
     #[must_use]
     pub fn code(&self) -> Code {
         match self {
-            Self::Usage(_) | Self::Declarations(_) | Self::Invalid { .. } => Code::Invalid,
+            Self::Usage(_) | Self::Declarations(_) | Self::Platform(_) | Self::Invalid { .. } => {
+                Code::Invalid
+            }
             Self::Conflict { .. } => Code::Conflict,
             Self::Unreachable { .. } | Self::Unknown { .. } => Code::Unreachable,
             Self::Failed { .. } | Self::Local(_) => Code::Failure,
--- a/bin/jacinthsill/tests/all/codes.rs
+++ b/bin/jacinthsill/tests/all/codes.rs
@@ -17,10 +17,19 @@
     let empty = empty.display().to_string();
     let (start, end) = ("2020-01-01T00:00:00Z", "2020-01-02T00:00:00Z");
     let past = ["announce", "balancer", "b", "--start", start, "--end", end];
-    let cases: [(&[&str], i32, &str); 26] = [
+    let settings = format!("agent={}/missing.conf", group.dir.path().display());
+    let cases: [(&[&str], i32, &str); 30] = [
         (&["check", &one], 0, "1 profiles and 1 services are valid"),
         (&["check", &broken], 2, "all.jsonc:2:"),
         (&["check", &empty], 2, "holds no *.jsonc file"),
+        (&["check"], 2, "name a folder"),
+        (&["check", "--settings", "agent"], 2, "is not balancer=FILE"),
+        (&["check", "--settings", &settings], 2, "missing.conf"),
+        (
+            &["check", "--configuration", "missing.json"],
+            2,
+            "missing.json",
+        ),
         (&["plan", &one], 4, "create service s"),
         (&["list"], 0, ""),
         (&["apply", &broken], 2, "warmup_ms"),
--- a/tests/e2e/src/process.rs
+++ b/tests/e2e/src/process.rs
@@ -55,17 +55,25 @@
     pub fn start(folder: &Path, program: &str, name: &str, settings: &serde_json::Value) -> Self {
         let file = folder.join(format!("{name}.jsonc"));
         std::fs::write(&file, settings.to_string()).expect("the folder is writable");
+        let mut command = Command::new(programs().join(program));
+        Self::spawn(folder, name, command.arg("--settings").arg(&file))
+    }
+
+    /// Starts a program; its log goes to a file in `folder`.
+    ///
+    /// # Panics
+    /// When it can't be started.
+    #[must_use]
+    pub fn spawn(folder: &Path, name: &str, command: &mut Command) -> Self {
         let log = folder.join(format!("{name}-{}.log", now_ns()));
         let output = File::create(&log).expect("the folder is writable");
         let errors = output.try_clone().expect("another handle of the file");
-        let child = Command::new(programs().join(program))
-            .arg("--settings")
-            .arg(&file)
+        let child = command
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(errors)
             .spawn()
-            .unwrap_or_else(|e| panic!("{program} can't be started: {e}"));
+            .unwrap_or_else(|e| panic!("{name} can't be started: {e}"));
         Self {
             name: name.into(),
             child,
