--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -3,6 +3,7 @@
 //! `stand-in CASE FOLDER RECORD` exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod case_drain;
 mod case_split;
 mod client;
 mod host;
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::create(Path::new(record)));
     let run = match case.as_str() {
+        "drain" => case_drain::run,
         "split" => case_split::run,
         other => cannot(&format!("there is no case {other}")),
     };
