Review case 4: a restart soon after a host's start resets its open flows

Cause: an agent whose first report of its host has a sequence of at most 2 takes the host for one that started later than itself, and is certain to know all of its flows. The second report comes 1.2 s after the first, and the host takes flows before that.

Change: none in the product; a script that adds a host and restarts the daemon beside it once within 1.2 s.

--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -4,6 +4,7 @@
 //! case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod case_drain;
+mod case_restart;
 mod case_split;
 mod client;
 mod host;
@@ -32,6 +33,7 @@
     let run = match case.as_str() {
         "drain" => case_drain::run,
         "split" => case_split::run,
+        "restart" => case_restart::run,
         other => cannot(&format!("there is no case {other}")),
     };
     let folder = Path::new(folder).to_owned();
