--- a/review/stand-in/case_restart.rs
+++ b/review/stand-in/case_restart.rs
@@ -20,7 +20,7 @@
     std::thread::sleep(Duration::from_secs(3));
     let client = deployment.client();
     let route = SocketAddrV4::new(ROUTE_IP, 8443);
-    let added = deployment.add_side(SERVICE, "zone-a");
+    let added = deployment.add_side(SERVICE, "zone-a", Duration::ZERO);
     let started = Instant::now();
     let mut flows = Vec::new();
     while started.elapsed() < Duration::from_millis(900) {
--- a/review/stand-in/machines.rs
+++ b/review/stand-in/machines.rs
@@ -215,6 +215,13 @@
     /// Starts three machines with balancer and control, then one with an agent for each host, in
     /// turn in each zone.
     pub fn start(folder: &Path, record: &Arc<Record>, services: &[&str]) -> Self {
+        let zones = ZONES.into_iter().cycle();
+        let hosts: Vec<_> = services.iter().copied().zip(zones).collect();
+        Self::start_in(folder, record, &hosts)
+    }
+
+    /// The same with the zone of each host.
+    pub fn start_in(folder: &Path, record: &Arc<Record>, hosts: &[(&str, &str)]) -> Self {
         let mut network = Network::draw();
         let ips: Vec<_> = ZONES.iter().map(|_| network.address()).collect();
         let ports = network.ports;
@@ -257,14 +264,14 @@
             router: Router::start(exits, record),
             record: Arc::clone(record),
         };
-        for (index, service) in services.iter().enumerate() {
-            deployment.add_side(service, ZONES[index % ZONES.len()]);
+        for (service, zone) in hosts {
+            deployment.add_side(service, zone, Duration::ZERO);
         }
         deployment
     }
 
-    /// Adds a machine with its daemon, and starts the host there once the daemon listens.
-    pub fn add_side(&mut self, service: &str, zone: &str) -> usize {
+    /// Adds a machine with its daemon, and starts the host there a while after the daemon listens.
+    pub fn add_side(&mut self, service: &str, zone: &str, pause: Duration) -> usize {
         let ip = self.network.address();
         let ports = self.network.ports;
         let at = |port| SocketAddrV4::new(ip, port);
@@ -294,6 +301,7 @@
             }
             std::thread::sleep(Duration::from_millis(10));
         }
+        std::thread::sleep(pause);
         let host = HostSettings {
             id: format!("i-{index}"),
             service: service.to_owned(),
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -4,6 +4,7 @@
 //! case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod case_drain;
+mod case_join;
 mod case_restart;
 mod case_split;
 mod client;
@@ -32,6 +33,7 @@
     let record = Arc::new(Record::create(Path::new(record)));
     let run = match case.as_str() {
         "drain" => case_drain::run,
+        "join" => case_join::run,
         "split" => case_split::run,
         "restart" => case_restart::run,
         other => cannot(&format!("there is no case {other}")),
