Keep the review's scripts inside the quoted limits and the rule

Cause: case 2 drained 1 host of 4, above the share of 0.17, and only one script left out flows that the rule doesn't cover.

--- a/review/stand-in/case_drain.rs
+++ b/review/stand-in/case_drain.rs
@@ -11,12 +11,12 @@
 use crate::record::Record;
 
 const SERVICE: &str = "huvo11a";
-const FLOWS: usize = 60;
+const FLOWS: usize = 90;
 const ANSWER_LIMIT: Duration = Duration::from_secs(8);
 const GAP: Duration = Duration::from_millis(1_300);
 
 pub fn run(folder: &Path, record: &Arc<Record>, trouble: bool) -> bool {
-    let mut deployment = Deployment::start(folder, record, &[SERVICE; 4]);
+    let mut deployment = Deployment::start(folder, record, &[SERVICE; 6]);
     let service = format!(r#""service":"{SERVICE}""#);
     deployment.configure(&document(7, &[(8443, service)], &[SERVICE]));
     deployment.wait_ready();
@@ -69,7 +69,7 @@
         record.line(&format!(
             "{id}: {result:?}, still held open by the draining host: {held}"
         ));
-        if result == Err(Failure::SystemReset) && held {
+        if result == Err(Failure::SystemReset) && held && flow.covered {
             broken += 1;
         }
     }
--- a/review/stand-in/case_join.rs
+++ b/review/stand-in/case_join.rs
@@ -17,8 +17,6 @@
 ];
 const FLOWS: u32 = 600;
 const ANSWER_LIMIT: Duration = Duration::from_secs(8);
-/// Flows that are idle for longer may be discarded: `idle_timeout_ms` of the configuration.
-const IDLE_LIMIT: Duration = Duration::from_secs(15);
 const GAP: Duration = Duration::from_millis(1_200);
 /// Time between the start of the new machine's daemon and that of its host.
 const HOST_PAUSE: Duration = Duration::from_millis(1_700);
@@ -72,7 +70,7 @@
                 "{id}: {result:?}, idle for {idle:?}, held open by host {holder:?}"
             ));
         }
-        if result == Err(Failure::SystemReset) && holder.is_some() && idle < IDLE_LIMIT {
+        if result == Err(Failure::SystemReset) && holder.is_some() && flow.covered {
             broken += 1;
         }
     }
--- a/review/stand-in/case_restart.rs
+++ b/review/stand-in/case_restart.rs
@@ -51,7 +51,7 @@
         record.line(&format!(
             "flow {number}: {result:?}, runs {runs}, still held open: {held}"
         ));
-        if result == Err(Failure::SystemReset) && held {
+        if result == Err(Failure::SystemReset) && held && flow.covered {
             broken += 1;
         }
     }
--- a/review/stand-in/case_split.rs
+++ b/review/stand-in/case_split.rs
@@ -68,7 +68,7 @@
             "flow {number}: {result:?}, runs {runs}, held open by host {holder:?}"
         ));
         // FLOW (a): a reset that the flow's host did not send, while that host lives and holds it.
-        if result == Err(Failure::SystemReset) && holder.is_some() {
+        if result == Err(Failure::SystemReset) && holder.is_some() && flow.covered {
             broken += 1;
         }
     }
--- a/review/stand-in/client.rs
+++ b/review/stand-in/client.rs
@@ -23,6 +23,9 @@
 const LAST_RESEND: Duration = Duration::from_millis(1_600);
 /// Largest distance of a reset's number from the client's last acknowledgement.
 const RESET_WINDOW: u32 = 76_800;
+/// Flows that are idle for longer (`idle_timeout_ms`) or older (`flow_max_s`) may be discarded.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+const AGE_LIMIT: Duration = Duration::from_secs(60);
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 const MISSES: u32 = 2;
 
@@ -231,6 +234,9 @@
                         next_out: number.wrapping_add(1),
                         next_in: packet.seq.wrapping_add(1),
                         packets,
+                        opened: Instant::now(),
+                        used: Instant::now(),
+                        covered: true,
                     };
                     flow.acknowledge();
                     return Ok(flow);
@@ -250,6 +256,10 @@
     next_out: u32,
     next_in: u32,
     packets: Receiver<(Packet, bool)>,
+    opened: Instant,
+    used: Instant,
+    /// Whether the rule covered the flow when the last request began.
+    pub covered: bool,
 }
 
 impl Flow {
@@ -272,6 +282,7 @@
     /// Sends a request and waits for its answer; returns the host that answered.
     pub fn ask(&mut self, id: &str, limit: Duration) -> Result<String, Failure> {
         let record = Arc::clone(&self.client.record);
+        self.covered = self.used.elapsed() < IDLE_LIMIT && self.opened.elapsed() < AGE_LIMIT;
         let mut request = Packet::new(self.local, self.route, ACK, self.next_out, self.next_in);
         request.data = format!("GET /work HTTP/1.1\r\nRequest-Id: {id}\r\n\r\n").into_bytes();
         let sent_end = self.next_out.wrapping_add(request.data.len() as u32);
@@ -290,6 +301,7 @@
                 }
                 if !packet.has(SYN) && !packet.data.is_empty() && packet.seq == self.next_in {
                     self.next_out = sent_end;
+                    self.used = Instant::now();
                     self.next_in = self.next_in.wrapping_add(packet.data.len() as u32);
                     if packet.has(FIN) {
                         self.next_in = self.next_in.wrapping_add(1);
