Reset a flow of a split route only once no service of the route has it

What callers saw: on a route with two services, or one that was moved, a planned restart of the balancers was followed by a reset of ours on open flows, though their host lived and held them.

Cause: a balancer without a cached owner searches every service of the route. Each search ended by itself, and the last agent of the service that doesn't have the flow reset it. Agents don't know the other services, and the header didn't tell that there are any.

Ruled out: a wrong owner or an incomplete search. The packet is delivered to the host that holds the flow, and each reset follows a visit to every member of the other service.

Change: a flag in the header tells agents that other services may have the flow. They return the packet to the balancer where they reset the flow before, at the end of a search as well as of a wrong redirect. The balancer resets the flow once every service returned the same packet within a second. The same cause on a related path: a cached owner that is outdated no longer hides the other services. Agents of the previous build read the flag as an uncertain owner and drop the packet.

Packets of routes with one service are encoded as before.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -114,3 +114,9 @@
         .into_iter()
         .chain(others.filter(move |service| Some(*service) != first))
 }
+
+/// Whether an open flow of the route may belong to another service than the given one.
+pub(crate) fn has_other_services(route: &RouteView, service: ServiceId) -> bool {
+    let mut targets = route.targets.iter().map(|target| target.service);
+    targets.any(|s| s != service) || route.former.iter().any(|s| *s != service)
+}
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddrV4;
 
+use api::RouteView;
 use derive_more::Display;
 use steering::OwnerCache;
 use tokio::time::Instant;
 use units::{DataCentre, Epoch, Flow, ServiceId, Version};
 use wire::{Candidate, Candidates, Header, Hints, Notice, Segment};
 
+use crate::absences::Absences;
 use crate::directory::{self, Directory};
 use crate::link::LinkLimiter;
 use crate::pending_syns::{PendingSyn, PendingSyns};
@@ -30,6 +32,13 @@
     },
     /// Answer the SYN with a reset.
     Refuse(DropReason),
+    /// Send the caller a TCP reset: no service of the route has its flow.
+    Reset {
+        /// Flow to reset.
+        flow: Flow,
+        /// Sequence number, chosen so that the caller accepts the reset.
+        seq: u32,
+    },
     /// Drop the packet.
     Drop(DropReason),
 }
@@ -58,6 +67,7 @@
     centre: DataCentre,
     started: Instant,
     owners: OwnerCache<(ServiceId, Candidate)>,
+    absences: Absences,
     pending_syns: PendingSyns,
     suspects: Suspects,
     link: LinkLimiter,
@@ -77,6 +87,7 @@
             centre,
             started: now,
             owners: OwnerCache::new(settings.max_owners, settings.owner_ttl),
+            absences: Absences::new(settings.max_absences, settings.absence_ttl),
             pending_syns: PendingSyns::default(),
             suspects: Suspects::new(settings.failure_threshold, settings.avoid_duration),
             link: LinkLimiter::new(settings.link.clone()),
@@ -128,10 +139,47 @@
         self.suspects.clear(notice.owner.address);
         for flow in &notice.flows {
             self.pending_syns.remove(flow);
+            self.absences.remove(flow);
             self.owners.put(*flow, (notice.service, notice.owner), now);
         }
     }
 
+    /// Handles a packet that the agents of `header`'s service returned, because none of their backend
+    /// servers has its flow. Once this holds for every service of the route, the caller gets a reset.
+    pub fn handle_not_held(
+        &mut self,
+        now: Instant,
+        directory: &Directory,
+        header: &Header,
+        segment: &Segment,
+        out: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow;
+        let Some(route) = directory.route(flow.service) else {
+            return;
+        };
+        if let Some((_, owner)) = self.owners.get(&flow, now) {
+            let assumed = header.hints.owner_first && header.candidates.first() == Some(&owner);
+            if !assumed {
+                // A notice has named the owner since.
+                return;
+            }
+            self.owners.remove(&flow);
+        }
+        let searched = self.absences.record(now, segment, header.service);
+        let services = directory::possible_services(route, &flow);
+        let left: Vec<_> = services.filter(|s| !searched.contains(s)).collect();
+        if left.is_empty() {
+            self.absences.remove(&flow);
+            let seq = segment.ack_number;
+            return out.push(Action::Reset { flow, seq });
+        }
+        // Without a presumed owner, all services were searched at the same time.
+        if header.hints.owner_first {
+            self.search(directory, route, &flow, left, out);
+        }
+    }
+
     /// Sends pending SYNs whose timeout expired to their next candidates.
     pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some((flow, pending)) = self.pending_syns.take_due(now) {
@@ -246,21 +294,37 @@
             let epoch = steering.map_or(Epoch(1), |s| s.current().epoch);
             let mut header = self.header(service, epoch, candidates);
             header.hints.owner_first = true;
+            header.hints.other_services = directory::has_other_services(route, service);
             return out.push(Action::Send(header));
         }
         let before = out.len();
-        for service in directory::possible_services(route, flow) {
+        let services = directory::possible_services(route, flow);
+        self.search(directory, route, flow, services, out);
+        if out.len() == before {
+            out.push(Action::Drop(DropReason::NoMember));
+        }
+    }
+
+    /// Sends a packet to the agents of each service that may know the owner of its flow.
+    fn search(
+        &self,
+        directory: &Directory,
+        route: &RouteView,
+        flow: &Flow,
+        services: impl IntoIterator<Item = ServiceId>,
+        out: &mut Vec<Action>,
+    ) {
+        for service in services {
             let Some(steering) = directory.steering(service) else {
                 continue;
             };
             let candidates = steering.lookup(flow.hash(), &self.centre);
-            if !candidates.is_empty() {
-                let epoch = steering.current().epoch;
-                out.push(Action::Send(self.header(service, epoch, candidates)));
+            if candidates.is_empty() {
+                continue;
             }
-        }
-        if out.len() == before {
-            out.push(Action::Drop(DropReason::NoMember));
+            let mut header = self.header(service, steering.current().epoch, candidates);
+            header.hints.other_services = directory::has_other_services(route, service);
+            out.push(Action::Send(header));
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,9 +4,12 @@
 //! the packets of a flow to the owner named by a notice, or to the agents that
 //! may know the owner. It keeps each SYN until a notice names the owner. After a
 //! timeout it sends the SYN to the next candidate, so a failed agent delays a
-//! new flow only by that timeout. Balancers share none of this state; if it is
+//! new flow only by that timeout. A flow may belong to any service of its route,
+//! and the agents of one service don't know the others: the balancer resets the
+//! flow once each of them was searched without finding it. Balancers share none of this state; if it is
 //! lost, packets take one more hop.
 
+mod absences;
 mod directory;
 mod dispatch;
 mod link;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -20,6 +20,10 @@
     pub max_owners: usize,
     /// Time after which an unused owner is removed from the cache.
     pub owner_ttl: Duration,
+    /// Maximum number of flows that were searched for in a part of their route's services.
+    pub max_absences: usize,
+    /// Time within which all services of a route are searched for a packet's flow.
+    pub absence_ttl: Duration,
     /// Number of consecutive unanswered SYNs after which an agent is avoided.
     pub failure_threshold: u8,
     /// Time for which an agent is avoided after its last unanswered SYN.
@@ -37,6 +41,8 @@
             max_pending: 16_384,
             max_owners: 65_536,
             owner_ttl: Duration::from_secs(60),
+            max_absences: 4_096,
+            absence_ttl: Duration::from_secs(1),
             failure_threshold: 2,
             avoid_duration: Duration::from_secs(1),
             link: LinkSettings::default(),
--- a/crates/dispatch/tests/all/common.rs
+++ b/crates/dispatch/tests/all/common.rs
@@ -145,6 +145,14 @@
         self.dispatcher.handle_notice(self.now, &notice);
     }
 
+    /// Delivers a packet that the agents of its service returned.
+    pub fn not_held(&mut self, header: &Header, segment: &Segment) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.dispatcher
+            .handle_not_held(self.now, &self.directory, header, segment, &mut out);
+        out
+    }
+
     /// Advances the clock; returns the headers of the SYNs that are sent again.
     pub fn advance(&mut self, ms: u64) -> Vec<Header> {
         self.now += Duration::from_millis(ms);
@@ -190,6 +198,15 @@
     }
 }
 
+/// Headers of sent packets; panics on any other action.
+pub fn sent_headers(actions: &[Action]) -> Vec<Header> {
+    let header = |action: &Action| match action {
+        Action::Send(header) => *header,
+        other => panic!("{other:?}"),
+    };
+    actions.iter().map(header).collect()
+}
+
 /// Numbers of the candidate agents, in order.
 pub fn agents(header: &Header) -> Vec<u8> {
     header
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod common;
 mod link;
 mod packets;
+mod several;
--- a/crates/dispatch/tests/all/packets.rs
+++ b/crates/dispatch/tests/all/packets.rs
@@ -7,7 +7,9 @@
 use units::{Flow, ServiceId};
 use wire::Header;
 
-use crate::common::{Harness, OTHER, SERVICE, agents, data, directory, flow, route, syn};
+use crate::common::{
+    Harness, OTHER, SERVICE, agents, data, directory, flow, route, sent_headers, syn,
+};
 
 /// Guards against sending new flows to another data centre while the local one has agents.
 #[test]
@@ -168,13 +170,7 @@
     let mut harness = Harness::new(vec![route(80, &[(OTHER, 1)], &[SERVICE])]);
     assert_eq!(harness.sent_header(&syn(flow(1, 80))).service, OTHER);
     let sent = harness.packet(&data(flow(2, 80)));
-    let services: Vec<_> = sent
-        .iter()
-        .map(|action| match action {
-            Action::Send(header) => header.service,
-            other => panic!("{other:?}"),
-        })
-        .collect();
+    let services: Vec<_> = sent_headers(&sent).iter().map(|h| h.service).collect();
     assert_eq!(services, [OTHER, SERVICE]);
     harness.notice(2, flow(2, 80));
     assert_eq!(harness.sent_header(&data(flow(2, 80))).service, SERVICE);
--- /dev/null
+++ b/crates/dispatch/tests/all/several.rs
@@ -0,0 +1,126 @@
+//! Open flows of routes with several services.
+
+use std::time::Duration;
+
+use api::RouteView;
+use dispatch::Action;
+use units::Flow;
+use wire::{Header, Segment};
+
+use crate::common::{Harness, OTHER, SERVICE, candidate, data, flow, route, sent_headers};
+
+const FLOW_PORT: u16 = 3;
+
+fn split_route() -> RouteView {
+    route(80, &[(SERVICE, 1), (OTHER, 1)], &[])
+}
+
+fn open_flow() -> Flow {
+    flow(FLOW_PORT, 80)
+}
+
+fn segment() -> Segment {
+    Segment {
+        ack_number: 701,
+        ..data(open_flow())
+    }
+}
+
+fn reset() -> Vec<Action> {
+    vec![Action::Reset {
+        flow: open_flow(),
+        seq: 701,
+    }]
+}
+
+/// Headers of the two searches for a flow without a known owner.
+fn searches(harness: &mut Harness) -> [Header; 2] {
+    let sent = harness.packet(&segment());
+    sent_headers(&sent).try_into().unwrap()
+}
+
+/// Guards against a reset by the service that doesn't have the flow: agents have to know that others
+/// may have it, also those of a former service and of the owner that the balancer presumes.
+#[test]
+fn agents_are_told_of_other_services() {
+    let mut harness = Harness::new(vec![
+        split_route(),
+        route(81, &[(SERVICE, 1)], &[OTHER]),
+        route(82, &[(SERVICE, 1)], &[]),
+    ]);
+    for port in [80, 81] {
+        let flow = flow(FLOW_PORT, port);
+        let headers = sent_headers(&harness.packet(&data(flow)));
+        assert_eq!(headers.len(), 2);
+        assert!(headers.iter().all(|h| h.hints.other_services), "{port}");
+        harness.notice(2, flow);
+        assert!(harness.sent_header(&data(flow)).hints.other_services);
+    }
+    assert!(!harness.sent_header(&data(flow(1, 82))).hints.other_services);
+}
+
+/// Guards against a reset while one service has not been searched, and against a caller that waits for
+/// a flow that none has.
+#[test]
+fn flow_is_reset_once_no_service_has_it() {
+    let mut harness = Harness::new(vec![split_route()]);
+    let [first, second] = searches(&mut harness);
+    assert_eq!(harness.not_held(&first, &segment()), []);
+    assert_eq!(harness.not_held(&first, &segment()), [], "the same again");
+    assert_eq!(harness.not_held(&second, &segment()), reset());
+}
+
+/// Guards against a reset of a flow that was found while another service was searched.
+#[test]
+fn found_flow_is_not_reset() {
+    let mut harness = Harness::new(vec![split_route()]);
+    let [first, second] = searches(&mut harness);
+    harness.notice(2, open_flow());
+    for header in [first, second, first, second] {
+        assert_eq!(harness.not_held(&header, &segment()), []);
+    }
+}
+
+/// Guards against a reset of a new flow that uses the addresses of an earlier one: what was found out
+/// about a packet of the earlier one doesn't count, nor does what is old.
+#[test]
+fn earlier_searches_do_not_count() {
+    let mut harness = Harness::new(vec![split_route()]);
+    let [first, second] = searches(&mut harness);
+    let new = Segment {
+        ack_number: 9_000,
+        ..segment()
+    };
+    assert_eq!(harness.not_held(&first, &segment()), []);
+    assert_eq!(harness.not_held(&second, &new), []);
+    assert_eq!(harness.not_held(&first, &segment()), []);
+    harness.now += Duration::from_secs(1);
+    assert_eq!(harness.not_held(&second, &segment()), []);
+}
+
+/// Guards against a reset because of an outdated owner: the flow may since have been opened at another
+/// service of the route.
+#[test]
+fn outdated_owner_leads_to_a_search_elsewhere() {
+    let mut harness = Harness::new(vec![split_route()]);
+    harness.notice(2, open_flow());
+    let owned = harness.sent_header(&segment());
+    assert_eq!(owned.candidates[0], candidate(2));
+    let sent = harness.not_held(&owned, &segment());
+    let [search] = sent_headers(&sent).try_into().unwrap();
+    assert_eq!(search.service, OTHER);
+    assert!(search.hints.other_services && !search.hints.owner_first);
+    assert_eq!(harness.not_held(&search, &segment()), reset());
+    assert_eq!(searches(&mut harness).len(), 2, "the owner is forgotten");
+}
+
+/// Guards against a reset though a service of the route can't be searched: its members are unknown.
+#[test]
+fn service_without_a_table_rules_nothing_out() {
+    let unknown = units::ServiceId(9);
+    let mut harness = Harness::new(vec![route(80, &[(SERVICE, 1), (unknown, 1)], &[])]);
+    let [search] = sent_headers(&harness.packet(&segment()))
+        .try_into()
+        .unwrap();
+    assert_eq!(harness.not_held(&search, &segment()), []);
+}
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -66,7 +66,7 @@
 
 /// Output of [`crate::Forwarder::handle`].
 ///
-/// `Deliver`, `Queue`, `Forward`, `Reply`, `Reset` and `Drop` concern the packet of the event; a
+/// `Deliver`, `Queue`, `Forward`, `Reply`, `Reset`, `NotHeld` and `Drop` concern the packet of the event; a
 /// `Reset` may also be for another flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -87,6 +87,14 @@
         /// Why the flow is reset.
         reason: Reason,
     },
+    /// Send the packet back to the balancer: this service doesn't have its flow, but another service
+    /// of the route may.
+    NotHeld {
+        /// Address for notices to the balancer.
+        to: SocketAddrV4,
+        /// Header with which the packet arrived, or with which its search ended.
+        header: Header,
+    },
     /// Drop the packet.
     Drop(DropReason),
     /// Send a stored packet to another agent.
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -11,7 +11,8 @@
 //! returns packets of other flows. An agent that started after its backend
 //! server therefore offers it packets of unknown flows, each flow once. An
 //! established flow is reset only if the backend server was known to have it and
-//! lost it, or if every member was visited and none has it.
+//! lost it, or if every member was visited and none has it. If the route has
+//! several services, the balancer resets it once this holds for all of them.
 //!
 //! A SYN visits candidates until one accepts it: the first whose backend server
 //! has a free slot and not many more open flows than its siblings. If there is
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -4,6 +4,7 @@
 use wire::Segment;
 
 use crate::occupancy::RequestState;
+use crate::search::end_search;
 use crate::{Action, DropReason, Forwarder, Reason, Timing};
 
 impl Forwarder {
@@ -77,7 +78,7 @@
             // Only the agent whose backend server opened the flow sends the notice behind a
             // redirect, so the flow is lost.
             let action = if header.is_redirected_at_first_hop() && !segment.rst {
-                lost_reset(segment)
+                end_search(&header, segment, Reason::Lost)
             } else {
                 self.forward_to_next(now, &header, segment, Reason::Returned)
             };
@@ -101,18 +102,13 @@
             }));
         } else if state.established && !segment.rst {
             self.offers.record_returned(flow, now);
-            out.push(lost_reset(segment));
+            out.push(Action::Reset {
+                flow,
+                seq: segment.ack_number,
+                reason: Reason::Lost,
+            });
         } else {
             out.push(Action::Drop(DropReason::Stray));
         }
     }
 }
-
-/// Resets a flow that the backend server doesn't have any more.
-fn lost_reset(segment: &Segment) -> Action {
-    Action::Reset {
-        flow: segment.flow,
-        seq: segment.ack_number,
-        reason: Reason::Lost,
-    }
-}
--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -6,6 +6,9 @@
 //! every member was visited, however many there are. Members whose process
 //! announced its shutdown recently are skipped, but their backend servers may
 //! have the flow, so such a search ends without a reset.
+//!
+//! A search covers one service. If the route has several, a search that finds
+//! nothing ends with the packet's return to the balancer.
 
 use std::net::SocketAddrV4;
 
@@ -36,11 +39,7 @@
         let returned = self.offers.was_returned(&flow);
         let informed = header.is_redirected_at_first_hop() && may_offer;
         if informed && returned && !segment.rst {
-            return out.push(Action::Reset {
-                flow,
-                seq: segment.ack_number,
-                reason: Reason::Lost,
-            });
+            return out.push(end_search(header, segment, Reason::Lost));
         }
         let recently_started = self.may_have_unknown_flows(now);
         let (may_be_running, may_have_flow) = match self.backend {
@@ -154,11 +153,7 @@
         if header.hints.owner_uncertain || !complete || segment.rst {
             return Action::Drop(DropReason::Unknown);
         }
-        Action::Reset {
-            flow,
-            seq: segment.ack_number,
-            reason: Reason::NotHeld,
-        }
+        end_search(&header, segment, Reason::NotHeld)
     }
 
     /// Puts the members of the local data centre in front of the others. This agent is the flow's
@@ -217,6 +212,25 @@
     }
 }
 
+/// Ends the search for a flow that no backend server of this service has. Only the balancer knows the
+/// other services of the route, so it decides if there are any.
+pub(crate) fn end_search(header: &Header, segment: &Segment, reason: Reason) -> Action {
+    if !header.hints.other_services {
+        return Action::Reset {
+            flow: segment.flow,
+            seq: segment.ack_number,
+            reason,
+        };
+    }
+    match header.hints.origin {
+        Some(to) => Action::NotHeld {
+            to,
+            header: *header,
+        },
+        None => Action::Drop(DropReason::Unknown),
+    }
+}
+
 fn is_listed(list: &Candidates, member: SocketAddrV4) -> bool {
     list.iter().any(|listed| listed.address == member)
 }
--- a/crates/forwarding/tests/all/lost.rs
+++ b/crates/forwarding/tests/all/lost.rs
@@ -7,8 +7,8 @@
 use wire::{Flags, Header, Segment};
 
 use crate::common::{
-    Fixture, LOCAL, backend, candidate, data, flow, header, load, members, resent_syns, syn,
-    syn_ack, table, target,
+    Fixture, LOCAL, backend, balancer, candidate, data, flow, header, load, member, members,
+    resent_syns, syn, syn_ack, table, target,
 };
 
 fn backend_predating_agent() -> Backend {
@@ -287,3 +287,51 @@
     let back = fixture.returned(&data(flow(1), 900));
     assert_eq!(back, [Action::Drop(DropReason::Stray)]);
 }
+
+/// Guards against a reset of a flow that another service of the route has: an agent whose service
+/// doesn't have it returns the packet to the balancer, also if a redirect named it as the owner.
+#[test]
+fn flow_of_a_route_with_other_services_is_left_to_the_balancer() {
+    let several = |mut header: Header| {
+        header.hints.other_services = true;
+        header
+    };
+    let not_held = |action: Action| match action {
+        Action::NotHeld { to, header } => {
+            assert_eq!(to, balancer());
+            assert!(header.hints.other_services);
+        }
+        other => panic!("{other:?}"),
+    };
+    let mut fixture = Fixture::with_backend(backend(), vec![member(LOCAL, "a")]);
+    let searched = several(header(&[LOCAL]));
+    not_held(fixture.packet_action(&searched, &data(flow(1), 900)));
+    let mut owned = searched;
+    owned.hints.owner_first = true;
+    not_held(fixture.packet_action(&owned, &data(flow(1), 900)));
+
+    let mut fixture = Fixture::new();
+    let informed = several(header(&[2, 3]).redirected(candidate(LOCAL), Flags::default()));
+    let action = fixture.packet_action(&informed, &data(flow(1), 900));
+    assert_eq!(action, Action::Deliver(Reason::Offer));
+    not_held(fixture.returned(&data(flow(1), 900)).remove(0));
+    not_held(fixture.packet_action(&informed, &data(flow(1), 900)));
+}
+
+/// Guards against a verdict on a flow that some agent of the service may have, and against a reset that
+/// is answered with a search.
+#[test]
+fn uncertain_search_tells_the_balancer_nothing() {
+    let mut fixture = Fixture::with_backend(backend(), vec![member(LOCAL, "a")]);
+    let mut header = header(&[LOCAL]);
+    header.hints.other_services = true;
+    let rst = Segment {
+        rst: true,
+        ..data(flow(1), 900)
+    };
+    let dropped = Action::Drop(DropReason::Unknown);
+    assert_eq!(fixture.packet_action(&header, &rst), dropped);
+    header.hints.owner_uncertain = true;
+    let action = fixture.packet_action(&header, &data(flow(1), 900));
+    assert_eq!(action, dropped);
+}
--- a/crates/forwarding/tests/all/simulation/network.rs
+++ b/crates/forwarding/tests/all/simulation/network.rs
@@ -457,6 +457,7 @@
                     self.forward(header, crate::common::syn(flow));
                 }
                 Action::Reset { flow, seq, .. } => self.send(Scheduled::Reset(number, flow, seq)),
+                Action::NotHeld { .. } => panic!("the route has one service"),
                 Action::Drop(_) => {}
                 Action::Notify { to, flows } => {
                     let member = &self.members[number];
--- a/crates/opaque/src/agent/outcome.rs
+++ b/crates/opaque/src/agent/outcome.rs
@@ -31,6 +31,9 @@
     /// A reset was sent to the caller.
     #[display("reset.{_0}")]
     Reset(Reason),
+    /// Returned to the balancer, as another service may have the flow.
+    #[display("not_held")]
+    NotHeld,
     /// The packet was dropped.
     #[display("dropped.{_0}")]
     Dropped(DropReason),
--- a/crates/opaque/src/agent/packet_loop.rs
+++ b/crates/opaque/src/agent/packet_loop.rs
@@ -1,6 +1,6 @@
 //! Runs the packet loop of an agent.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -247,6 +247,10 @@
                 (self.codec.reset)(flow, seq, out);
                 self.send(Socket::Fabric, out, self.caller(flow));
             }
+            Action::NotHeld { to, header } => {
+                self.not_held(flow, to);
+                self.send_packet(&header, packet, to.into(), out);
+            }
             Action::Drop(reason) => self.dropped(flow, reason),
             Action::Notify { to, flows } => self.notify(to.into(), flows, out),
         }
@@ -317,6 +321,15 @@
         }
     }
 
+    fn not_held(&mut self, flow: Flow, to: SocketAddrV4) {
+        self.telemetry.count(Outcome::NotHeld);
+        let epoch = self.forwarder.epoch();
+        if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
+            info!(log, "flow not held by this service; packet returned to the balancer";
+                "flow" => %flow, "to" => %to, "epoch" => epoch);
+        }
+    }
+
     fn dropped(&mut self, flow: Flow, reason: DropReason) {
         self.telemetry.count(Outcome::Dropped(reason));
         let epoch = self.forwarder.epoch();
@@ -349,9 +362,13 @@
         let Some(target) = header.target() else {
             return;
         };
+        self.send_packet(header, packet, target.address.into(), out);
+    }
+
+    fn send_packet(&mut self, header: &Header, packet: &[u8], to: SocketAddr, out: &mut Vec<u8>) {
         match wire::encode_packet(&self.key, header, packet, out) {
-            Ok(()) => self.send(Socket::Fabric, out, target.address.into()),
-            Err(error) => self.unsent(target.address.into(), &error),
+            Ok(()) => self.send(Socket::Fabric, out, to),
+            Err(error) => self.unsent(to, &error),
         }
     }
 
--- a/crates/opaque/src/balancer/outcome.rs
+++ b/crates/opaque/src/balancer/outcome.rs
@@ -19,6 +19,12 @@
     /// A SYN was sent to its next candidate, because no notice named an owner in time.
     #[display("syn_unanswered")]
     SynUnanswered,
+    /// A packet came back, as one of its route's services doesn't have the flow.
+    #[display("not_held")]
+    NotHeld,
+    /// A reset was sent to the caller, as no service of the route has the flow.
+    #[display("reset.not_held")]
+    Reset,
     /// A SYN was refused with a reset to the caller.
     #[display("refused.{_0}")]
     Refused(DropReason),
--- a/crates/opaque/src/balancer/packet_loop.rs
+++ b/crates/opaque/src/balancer/packet_loop.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 use units::Flow;
-use wire::{Codec, Header, MAX_DATAGRAM_BYTES, MAX_INNER_BYTES, Message, Segment};
+use wire::{Codec, Header, MAX_DATAGRAM_BYTES, MAX_INNER_BYTES, Message, PacketError, Segment};
 
 use super::outcome::Outcome;
 use super::stats::BalancerStats;
@@ -61,7 +61,7 @@
                 () = sleep_until(due) => {}
             }
             self.telemetry.check_wakeup(since, due);
-            self.receive_notices(&mut buffer);
+            self.receive_notices(&mut buffer, &mut actions, &mut out);
             self.receive_packets(&mut buffer, &mut actions, &mut out);
             let now = Instant::now();
             if self.dispatcher.deadline().is_some_and(|due| due <= now) {
@@ -75,7 +75,7 @@
         }
     }
 
-    fn receive_notices(&mut self, buffer: &mut [u8]) {
+    fn receive_notices(&mut self, buffer: &mut [u8], actions: &mut Vec<Action>, out: &mut Vec<u8>) {
         let now = Instant::now();
         for _ in 0..BATCH_SIZE {
             // An error ends the batch; if it persists, the next wait for readiness returns it.
@@ -87,14 +87,36 @@
                     self.telemetry.count(Outcome::Notice);
                     self.dispatcher.handle_notice(now, &notice);
                 }
-                Ok(Message::Packet { .. }) => {
-                    self.invalid_datagram(from, &"packet received at the notice address")
+                Ok(Message::Packet { header, inner }) => {
+                    self.receive_not_held(now, &header, inner, actions, out);
                 }
                 Err(error) => self.invalid_datagram(from, &error),
             }
         }
     }
 
+    /// Handles a packet that agents returned, as their service doesn't have its flow.
+    fn receive_not_held(
+        &mut self,
+        now: Instant,
+        header: &Header,
+        inner: &[u8],
+        actions: &mut Vec<Action>,
+        out: &mut Vec<u8>,
+    ) {
+        self.telemetry.count(Outcome::NotHeld);
+        let segment = match (self.codec.inbound)(inner) {
+            Ok(segment) => segment,
+            Err(reason) => return self.invalid_packet(now, reason),
+        };
+        let directory = Arc::clone(&self.directory.borrow());
+        self.dispatcher
+            .handle_not_held(now, &directory, header, &segment, actions);
+        for action in actions.drain(..) {
+            self.execute(action, inner, Some(&segment), out);
+        }
+    }
+
     fn receive_packets(&mut self, buffer: &mut [u8], actions: &mut Vec<Action>, out: &mut Vec<u8>) {
         let directory = Arc::clone(&self.directory.borrow_and_update());
         let now = Instant::now();
@@ -119,12 +141,7 @@
                         self.execute(action, inner, Some(&segment), out);
                     }
                 }
-                Err(reason) => {
-                    self.telemetry.count(Outcome::Invalid(reason));
-                    if let Some(log) = self.telemetry.flow_log(LinePriority::High, now) {
-                        warn!(log, "invalid packet"; "reason" => %reason);
-                    }
-                }
+                Err(reason) => self.invalid_packet(now, reason),
             }
         }
     }
@@ -160,8 +177,17 @@
                 self.telemetry.count(Outcome::Refused(reason));
                 if let Some(segment) = segment {
                     self.not_sent("refused", segment.flow, reason);
-                    self.reset(segment.flow, out);
+                    self.reset(segment.flow, 0, out);
+                }
+            }
+            Action::Reset { flow, seq } => {
+                self.telemetry.count(Outcome::Reset);
+                let (config, age) = self.view();
+                if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
+                    warn!(log, "reset"; "flow" => %flow, "reason" => "not_held",
+                        "config" => config, "view_age_ms" => age);
                 }
+                self.reset(flow, seq, out);
             }
             Action::Drop(reason) => {
                 self.telemetry.count(Outcome::Dropped(reason));
@@ -210,6 +236,13 @@
         (self.directory.borrow().config_version().0, age)
     }
 
+    fn invalid_packet(&mut self, now: Instant, reason: PacketError) {
+        self.telemetry.count(Outcome::Invalid(reason));
+        if let Some(log) = self.telemetry.flow_log(LinePriority::High, now) {
+            warn!(log, "invalid packet"; "reason" => %reason);
+        }
+    }
+
     fn invalid_datagram(&mut self, from: SocketAddr, error: &dyn std::fmt::Display) {
         self.telemetry.count(Outcome::InvalidDatagram);
         if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
@@ -227,8 +260,8 @@
         }
     }
 
-    fn reset(&mut self, flow: Flow, out: &mut Vec<u8>) {
-        (self.codec.reset)(flow, 0, out);
+    fn reset(&mut self, flow: Flow, seq: u32, out: &mut Vec<u8>) {
+        (self.codec.reset)(flow, seq, out);
         self.put(out, (*flow.caller.ip(), self.caller_port).into());
     }
 
--- a/crates/wire/src/hints.rs
+++ b/crates/wire/src/hints.rs
@@ -21,6 +21,12 @@
 const FLAG_OWNER_FIRST: u8 = 8;
 const FLAG_OWNER_UNCERTAIN: u8 = 16;
 const FLAG_SWEEP: u8 = 32;
+const FLAG_OTHER_SERVICES: u8 = 64;
+
+/// `owner_uncertain` of a packet with [`FLAG_OTHER_SERVICES`]. Such a packet always has
+/// [`FLAG_OWNER_UNCERTAIN`], so that agents of earlier versions, which don't know the flag, drop
+/// the packet instead of resetting its flow.
+const FLAG_VISIT_UNCERTAIN: u8 = 128;
 
 /// Search for the owner of a flow that visits all members in the order of their addresses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,6 +90,8 @@
     pub owner_first: bool,
     /// A visited agent may own the flow without knowing it.
     pub owner_uncertain: bool,
+    /// Other services of the route may own the flow.
+    pub other_services: bool,
     /// Priority of the route under overload; 0 is the highest.
     pub priority: u8,
     /// Target latency of the response in milliseconds; 0 if there is none.
@@ -99,7 +107,9 @@
     pub(crate) fn flag_bits(&self) -> u8 {
         (u8::from(*self != Self::default()) * FLAG_HINTS)
             | (u8::from(self.owner_first) * FLAG_OWNER_FIRST)
-            | (u8::from(self.owner_uncertain) * FLAG_OWNER_UNCERTAIN)
+            | (u8::from(self.owner_uncertain || self.other_services) * FLAG_OWNER_UNCERTAIN)
+            | (u8::from(self.other_services) * FLAG_OTHER_SERVICES)
+            | (u8::from(self.owner_uncertain && self.other_services) * FLAG_VISIT_UNCERTAIN)
             | (u8::from(self.sweep.is_some()) * FLAG_SWEEP)
     }
 
@@ -139,10 +149,17 @@
                 visited_sum: u64::from_be_bytes(read_array(raw, end + 7)?),
             })
         };
+        let other_services = flags & FLAG_OTHER_SERVICES != 0;
+        let uncertain_flag = if other_services {
+            FLAG_VISIT_UNCERTAIN
+        } else {
+            FLAG_OWNER_UNCERTAIN
+        };
         let hints = Self {
             origin: Some(origin).filter(|origin| origin.port() != 0),
             owner_first: flags & FLAG_OWNER_FIRST != 0,
-            owner_uncertain: flags & FLAG_OWNER_UNCERTAIN != 0,
+            owner_uncertain: flags & uncertain_flag != 0,
+            other_services,
             priority: raw[PRIORITY_OFFSET],
             latency_target_ms: u16::from_be_bytes(read_array(raw, offset + 7 + LOAD_BYTES)?),
             least_loaded: (hop != NO_HOP).then_some((hop, load)),
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -79,6 +79,7 @@
         origin: Some(origin),
         owner_first: true,
         owner_uncertain: true,
+        other_services: false,
         priority: 3,
         latency_target_ms: 250,
         least_loaded: Some((
@@ -96,7 +97,18 @@
         sweep: Some(sweep),
         ..hints
     };
-    for hints in [Hints::default(), hints, swept] {
+    let several = |owner_uncertain| Hints {
+        owner_uncertain,
+        other_services: true,
+        ..hints
+    };
+    for hints in [
+        Hints::default(),
+        hints,
+        swept,
+        several(false),
+        several(true),
+    ] {
         let header = Header { hints, ..header(3) };
         let mut out = Vec::new();
         encode_packet(&key(1), &header, &packet(b"hello"), &mut out).unwrap();
@@ -113,6 +125,25 @@
     }
 }
 
+/// Guards against flows that an agent of an earlier version resets because it doesn't know that other
+/// services may own them: such an agent has to read the packet as one with an uncertain owner.
+#[test]
+fn packet_for_several_services_looks_uncertain_to_earlier_versions() {
+    const FLAGS_OFFSET: usize = 6;
+    const FLAG_OWNER_UNCERTAIN: u8 = 16;
+    for owner_uncertain in [false, true] {
+        let hints = Hints {
+            owner_uncertain,
+            other_services: true,
+            ..Hints::default()
+        };
+        let header = Header { hints, ..header(3) };
+        let mut out = Vec::new();
+        encode_packet(&key(1), &header, &packet(b""), &mut out).unwrap();
+        assert_ne!(out[FLAGS_OFFSET] & FLAG_OWNER_UNCERTAIN, 0);
+    }
+}
+
 /// Guards against a sweep that ends early or never: members are ordered from its start, and only
 /// visits to exactly the given members cover them.
 #[test]
