--- a/tests/e2e/src/process.rs
+++ b/tests/e2e/src/process.rs
@@ -100,6 +100,12 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Id of the process.
+    #[must_use]
+    pub fn id(&self) -> i32 {
+        i32::try_from(self.child.id()).expect("ids of processes are positive")
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         if self.code.is_some() {
