--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -66,8 +66,8 @@
 
 /// Output of [`crate::Forwarder::handle`].
 ///
-/// `Deliver`, `Queue`, `Forward`, `Reply`, `Reset`, `NotHeld` and `Drop` concern the packet of the event; a
-/// `Reset` may also be for another flow.
+/// `Deliver`, `Queue`, `Forward`, `Reply`, `Reset`, `NotHeld` and `Drop` concern the packet of the
+/// event; a `Reset` may also be for another flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// Deliver the packet to the backend server.
