Limit the speed of links in the fault proxy

Several connections share a link, as those of a VM do.

Test: tcp_connections_share_the_speed_of_a_link.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -5,12 +5,14 @@
 //! generator: the same seed gives the same sequence of decisions for the same
 //! sequence of datagrams. Every decision is counted.
 
+mod link;
 mod plan;
 mod schedule;
 mod stats;
 mod tcp;
 mod udp;
 
+pub use link::{Link, Links};
 pub use plan::{Fate, Plan, PlanError, Roll, Way};
 pub use schedule::Schedule;
 pub use stats::Stats;
--- a/crates/faults/src/tcp.rs
+++ b/crates/faults/src/tcp.rs
@@ -13,7 +13,7 @@
 
 use crate::stats::{Counters, bump};
 use crate::udp::thawed;
-use crate::{Plan, PlanError, Roll, Stats, Way};
+use crate::{Link, Links, Plan, PlanError, Roll, Stats, Way};
 
 /// Size of a piece in bytes.
 const PIECE: usize = 16 << 10;
@@ -21,6 +21,9 @@
 /// Pieces in flight in one direction of a connection.
 const PIECES: usize = 256;
 
+/// Pieces in flight over a link of limited speed: a window of 64 KB.
+const LINK_PIECES: usize = 4;
+
 /// Proxy between TCP clients and a target; stops when dropped.
 #[derive(Debug)]
 pub struct TcpProxy {
@@ -36,6 +39,7 @@
     plan: watch::Receiver<Plan>,
     sever: watch::Receiver<u64>,
     counters: Arc<Counters>,
+    links: Links,
 }
 
 impl TcpProxy {
@@ -48,6 +52,20 @@
         target: SocketAddr,
         plan: Plan,
         seed: u64,
+    ) -> io::Result<Self> {
+        Self::start_on(Links::default(), listen, target, plan, seed).await
+    }
+
+    /// The same over links of limited speed.
+    ///
+    /// # Errors
+    /// See [`TcpProxy::start`].
+    pub async fn start_on(
+        links: Links,
+        listen: SocketAddr,
+        target: SocketAddr,
+        plan: Plan,
+        seed: u64,
     ) -> io::Result<Self> {
         plan.check().map_err(io::Error::other)?;
         let listener = TcpListener::bind(listen).await?;
@@ -59,6 +77,7 @@
             plan: plans,
             sever: severed,
             counters: Arc::clone(&counters),
+            links,
         };
         let mut tasks = JoinSet::new();
         tasks.spawn(serve(listener, target, shared, seed));
@@ -99,6 +118,15 @@
     }
 }
 
+impl Shared {
+    fn link(&self, way: Way) -> Option<&Link> {
+        match way {
+            Way::Forth => self.links.forth.as_ref(),
+            Way::Back => self.links.back.as_ref(),
+        }
+    }
+}
+
 async fn serve(listener: TcpListener, target: SocketAddr, shared: Shared, seed: u64) {
     let mut connections = JoinSet::new();
     let mut number = 0_u64;
@@ -148,7 +176,9 @@
     way: Way,
     seed: u64,
 ) -> io::Result<()> {
-    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(PIECES);
+    let link = shared.link(way);
+    let pieces = if link.is_some() { LINK_PIECES } else { PIECES };
+    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(pieces);
     let read = async move {
         let mut roll = Roll::new(seed);
         loop {
@@ -173,6 +203,9 @@
         while let Some((at, piece)) = receiver.recv().await {
             tokio::time::sleep_until(at).await;
             passable(shared, way).await;
+            if let Some(link) = link {
+                link.carry(piece.len()).await;
+            }
             to.write_all(&piece).await?;
             bump(&shared.counters.delivered);
         }
--- a/crates/faults/tests/proxies.rs
+++ b/crates/faults/tests/proxies.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use faults::{Plan, TcpProxy, UdpProxy};
+use faults::{Link, Links, Plan, TcpProxy, UdpProxy};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 const SHORT: Duration = Duration::from_millis(150);
@@ -220,3 +221,28 @@
     let end = timeout(LONG, stream.read(&mut buf)).await.unwrap();
     assert!(matches!(end, Ok(0) | Err(_)));
 }
+
+/// Guards against a limit that counts each connection of a link by itself.
+#[tokio::test]
+async fn tcp_connections_share_the_speed_of_a_link() {
+    let link = Link::with_kbps(800);
+    let links = Links {
+        back: Some(link.clone()),
+        ..Links::default()
+    };
+    let proxy = TcpProxy::start_on(links, any(), tcp_echo().await, Plan::default(), 5)
+        .await
+        .unwrap();
+    let begin = Instant::now();
+    let mut copies = JoinSet::new();
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+        copies.spawn(async move {
+            stream.write_all(&[7; 10_000]).await.unwrap();
+            stream.read_exact(&mut [0; 10_000]).await.unwrap();
+        });
+    }
+    timeout(LONG, copies.join_all()).await.unwrap();
+    assert!(begin.elapsed() >= Duration::from_millis(399));
+    assert_eq!(link.carried(), 40_000);
+}
