--- a/bin/control/src/http/internal.rs
+++ b/bin/control/src/http/internal.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
+use super::counted::watch_response;
 use super::response::{HandlerResult, error_response, propose_error_response, redirect_to_leader};
 use crate::node::{Node, now};
 
@@ -67,7 +68,7 @@
         };
         let current = is_current(&replica.status());
         if let Some(reply) = update {
-            return request.reply(&node.key, &WatchReply { current, ..reply });
+            return reply_to_watch(node, &request, WatchReply { current, ..reply });
         }
         if node.is_stopping() || !current {
             return out_of_date_response();
@@ -82,11 +83,18 @@
             let reply = state.watch_reply(message);
             let reply = reply.unwrap_or_else(|| state.unchanged_reply(message));
             let current = true;
-            return request.reply(&node.key, &WatchReply { current, ..reply });
+            return reply_to_watch(node, &request, WatchReply { current, ..reply });
         }
     }
 }
 
+fn reply_to_watch(node: &Arc<Node>, request: &Request<Watch>, reply: WatchReply) -> HandlerResult {
+    if reply.complete {
+        node.increment("watch.complete");
+    }
+    watch_response(node, request.encode_reply(&node.key, &reply)?)
+}
+
 fn out_of_date_response() -> HandlerResult {
     let message = "this replica stops or lost contact to the leader; ask another one";
     error_response(StatusCode::SERVICE_UNAVAILABLE, message)
--- a/bin/control/src/http/mod.rs
+++ b/bin/control/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP server for operators, nodes and the other replicas.
 
+mod counted;
 mod internal;
 mod operator;
 mod response;
--- a/bin/control/src/lib.rs
+++ b/bin/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod run;
 mod settings;
 mod summary;
+mod traffic;
 
 pub use http::Api;
 pub use node::Node;
--- a/bin/control/src/node.rs
+++ b/bin/control/src/node.rs
@@ -1,7 +1,7 @@
 //! State shared by the request handlers and tasks of a control replica.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -40,6 +40,7 @@
     membership: Mutex<Membership>,
     replica: OnceLock<Replica>,
     stopping: AtomicBool,
+    abandoned: AtomicU64,
 }
 
 impl Node {
@@ -62,6 +63,7 @@
             membership: Mutex::default(),
             replica: OnceLock::new(),
             stopping: AtomicBool::new(false),
+            abandoned: AtomicU64::new(0),
         }
     }
 
@@ -233,6 +235,17 @@
         let _sent = self.metrics.time(name, time);
     }
 
+    /// Counts a reply to a watch that its client did not take to the end.
+    pub fn count_abandoned(&self) {
+        self.abandoned.fetch_add(1, Ordering::Relaxed);
+        self.increment("watch.abandoned");
+    }
+
+    /// Replies to watches that were abandoned since the last call.
+    pub fn take_abandoned(&self) -> u64 {
+        self.abandoned.swap(0, Ordering::Relaxed)
+    }
+
     /// Increments a counter in the metrics.
     pub fn increment(&self, name: &str) {
         // Metrics are best effort; a full queue must not fail a request.
--- a/bin/control/src/run.rs
+++ b/bin/control/src/run.rs
@@ -16,7 +16,7 @@
 use crate::http::Api;
 use crate::node::Node;
 use crate::settings::{self, Settings};
-use crate::{burn_queue, http, leader};
+use crate::{burn_queue, http, leader, traffic};
 
 /// Timeout of each step of a graceful shutdown: the transfer of leadership, and the requests in
 /// progress.
@@ -91,16 +91,18 @@
         let node = Arc::new(Node::new(settings, key.clone(), telemetry, sender));
         // A starting replica exchanges requests with its peers, so the server starts first.
         let server = http::start(Arc::clone(&node), log, extend)?;
+        let client = Client::new(key).with_address_overrides(&node.settings.routes);
         let replica = Replica::start(
             node.settings.replica(),
             node.state_machine(),
-            Client::new(key).with_address_overrides(&node.settings.routes),
+            client.clone(),
             log.clone(),
         )
         .await?;
         node.set_replica(replica.clone());
         tokio::spawn(burn_queue::run(Arc::clone(&node), queue));
         tokio::spawn(leader::run(Arc::clone(&node), log.clone()));
+        tokio::spawn(traffic::run(Arc::clone(&node), client, log.clone()));
         info!(log, "ready"; "listen" => %node.settings.listen, "id" => replica.status().id.0);
         Ok(Self {
             node,
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -1,16 +1,19 @@
 //! HTTP client with a pool of persistent connections.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::traffic::{Traffic, TrafficCounters};
 use crate::{Key, RpcError};
 
 /// Largest accepted response body in bytes.
@@ -43,6 +46,7 @@
     http: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
     key: Key,
     overrides: Arc<[AddressOverride]>,
+    traffic: TrafficCounters,
 }
 
 impl Client {
@@ -60,6 +64,7 @@
             http,
             key,
             overrides: Arc::default(),
+            traffic: TrafficCounters::default(),
         }
     }
 
@@ -72,6 +77,12 @@
         }
     }
 
+    /// Traffic of this client and its clones with a path.
+    #[must_use]
+    pub fn traffic(&self, path: &str) -> Traffic {
+        self.traffic.read(path)
+    }
+
     /// Sends a message and waits at most `limit` for the verified answer.
     ///
     /// # Errors
@@ -89,7 +100,7 @@
         A: DeserializeOwned,
     {
         let call = self.exchange(peer, path, message);
-        match tokio::time::timeout(limit, call).await {
+        let answer = match tokio::time::timeout(limit, call).await {
             Ok(answer) => answer,
             Err(_) => {
                 let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
@@ -99,7 +110,12 @@
                     limit_ms,
                 })
             }
-        }
+        };
+        self.traffic.record(path, |traffic| {
+            traffic.calls += 1;
+            traffic.failed += u64::from(answer.is_err());
+        });
+        answer
     }
 
     async fn exchange<Q, A>(&self, peer: SocketAddr, path: &str, message: &Q) -> Result<A, RpcError>
@@ -114,11 +130,13 @@
         };
         let body = rmp_serde::to_vec_named(message).map_err(|e| invalid(e.to_string()))?;
         let signed = self.key.sign_body(path, &[], body);
+        let sent = signed.len() as u64;
+        self.traffic.record(path, |traffic| traffic.sent += sent);
         let tag = signed[signed.len() - crate::TAG_BYTES..].to_vec();
         let found = self.overrides.iter().find(|entry| entry.to == peer);
         let address = found.map_or(peer, |entry| entry.via);
         let request = http::Request::post(format!("http://{address}{path}"))
-            .header(http::header::CONTENT_TYPE, "application/octet-stream")
+            .header(http::header::CONTENT_TYPE, crate::CONTENT_TYPE)
             .body(Full::new(Bytes::from(signed)))
             .map_err(|e| invalid(e.to_string()))?;
         let response = self.http.request(request).await.map_err(|e| {
@@ -138,15 +156,14 @@
             }
         })?;
         let status = response.status();
-        let answer = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
+        let answer = self
+            .read_body(response.into_body(), path)
             .await
             .map_err(|source| RpcError::ConnectionLost {
                 path: path.into(),
                 peer,
                 source,
-            })?
-            .to_bytes();
+            })?;
         if !status.is_success() {
             let message = String::from_utf8_lossy(&answer).into();
             return Err(RpcError::Status {
@@ -161,4 +178,22 @@
         };
         rmp_serde::from_slice(body).map_err(|e| invalid(e.to_string()))
     }
+
+    async fn read_body(
+        &self,
+        body: Incoming,
+        path: &str,
+    ) -> Result<Vec<u8>, Box<dyn Error + Send + Sync>> {
+        let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+        let mut content = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(piece) = frame?.into_data() else {
+                continue;
+            };
+            self.traffic
+                .record(path, |traffic| traffic.received += piece.len() as u64);
+            content.extend_from_slice(&piece);
+        }
+        Ok(content)
+    }
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -10,11 +10,13 @@
 mod error;
 mod key;
 mod server;
+mod traffic;
 
 pub use client::{AddressOverride, Client};
 pub use error::RpcError;
 pub use key::{Key, KeyError, TAG_BYTES, Tag};
-pub use server::{Request, response, text_response};
+pub use server::{CONTENT_TYPE, Request, response, text_response};
+pub use traffic::Traffic;
 
 /// Error message for a body whose tag does not match.
 const TAG_MISMATCH: &str = "wrong tag; do both processes use the same key file?";
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -7,6 +7,9 @@
 
 use crate::{Key, Tag};
 
+/// Content type of authenticated bodies.
+pub const CONTENT_TYPE: &str = "application/octet-stream";
+
 /// Request with a verified tag.
 #[derive(Debug)]
 pub struct Request<T> {
@@ -41,13 +44,18 @@
     /// # Errors
     /// Status 500 if the answer can't be encoded.
     pub fn reply<A: Serialize>(&self, key: &Key, answer: &A) -> Result<Response<Body>, HttpError> {
+        let body = self.encode_reply(key, answer)?;
+        response(StatusCode::OK, CONTENT_TYPE, body)
+    }
+
+    /// Encodes the body of such an answer; its type is [`CONTENT_TYPE`].
+    ///
+    /// # Errors
+    /// Status 500 if the answer can't be encoded.
+    pub fn encode_reply<A: Serialize>(&self, key: &Key, answer: &A) -> Result<Vec<u8>, HttpError> {
         let body = rmp_serde::to_vec_named(answer)
             .map_err(|e| HttpError::for_internal_error(format!("{}: {e}", self.path)))?;
-        response(
-            StatusCode::OK,
-            "application/octet-stream",
-            key.sign_body(self.path, &self.tag, body),
-        )
+        Ok(key.sign_body(self.path, &self.tag, body))
     }
 }
 
--- a/crates/watcher/src/initial.rs
+++ b/crates/watcher/src/initial.rs
@@ -9,6 +9,7 @@
 
 use api::{Watch, WatchReply, path};
 use rpc::Client;
+use slog::{Logger, warn};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use units::Millis;
@@ -35,7 +36,9 @@
     replicas: &ReplicaSelector,
     client: &Client,
     message: &Watch,
+    log: &Logger,
 ) -> (SocketAddr, WatchReply) {
+    let begin = Instant::now();
     let message = Watch {
         wait_ms: Millis(0),
         ..message.clone()
@@ -67,6 +70,9 @@
         if let Ok(Ok(reply)) = timeout(REPLICA_LIST_AGE, first).await {
             return reply;
         }
+        let traffic = client.traffic(path::WATCH);
+        warn!(log, "no tables yet"; "ms" => begin.elapsed().as_millis(), "calls" => traffic.calls,
+            "failed" => traffic.failed, "received_bytes" => traffic.received);
     }
 }
 
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -42,8 +42,10 @@
     // Log index that the view reflects.
     let mut index = 0;
     let message = request(&settings, &view_out.borrow(), index);
-    let (peer, reply) = initial::fetch(&replicas, &client, &message).await;
+    let begin = Instant::now();
+    let (peer, reply) = initial::fetch(&replicas, &client, &message, &log).await;
     replicas.prefer(peer);
+    let attempts = client.traffic(path::WATCH);
     let mut initial_reply = Some(reply);
     loop {
         let Some(peer) = replicas.select(Instant::now()) else {
@@ -80,7 +82,9 @@
                 if let Some(next) = view.updated(&reply, Instant::now()) {
                     view_out.send_replace(Arc::new(next));
                     if std::mem::take(&mut first) {
-                        info!(log, "first tables received"; "config" => reply.config.0);
+                        info!(log, "first tables received"; "config" => reply.config.0, "peer" => %peer,
+                            "ms" => begin.elapsed().as_millis(), "calls" => attempts.calls,
+                            "received_bytes" => attempts.received);
                     }
                     sleep_until(start + MIN_POLL_INTERVAL).await;
                 } else if start.elapsed() < MIN_IDLE_INTERVAL {
