Request the tables of a node once, and let slow transfers finish

Cause: a node without tables asked each of 8 replicas again every 60 ms, with up to 6 open requests to each and 600 ms for the complete reply. Every reply is the whole table (135 KB at 1,650 routes), so up to 48 copies shared the node's link and none arrived before its limit; the next round began from zero. The long poll had the same fault with 1.4 s for a change. Class: a total time limit on a transfer whose size grows, with retries that start from zero and multiply.

Ruled out for these nodes: links of the replicas (nodes on fast links in the same zones had their tables), bytes to peers and the replicas' processors (0.02 of 0.32 cores).

Change: only a probe is hedged; its reply is small at any size of the tables. The tables come from one replica, and the call goes on while their bytes arrive. If they take longer than 1.5 s, one more copy is requested elsewhere. A replica of the old build ignores the probe field and replies in full, so control is upgraded first; a node of the old build is served as before.

--- a/bin/control/src/http/internal.rs
+++ b/bin/control/src/http/internal.rs
@@ -56,6 +56,9 @@
     let request = Request::<Watch>::verify(&node.key, path::WATCH, &body)?;
     node.increment("watch");
     let message = &request.message;
+    if message.probe {
+        return reply_to_probe(node, &request);
+    }
     let wait = message.wait_ms.duration().min(MAX_POLL_WAIT);
     let deadline = tokio::time::Instant::now() + wait;
     let mut changes = node.subscribe();
@@ -88,6 +91,28 @@
     }
 }
 
+/// Replies to a node that looks for a replica with tables, at any size of these.
+fn reply_to_probe(node: &Arc<Node>, request: &Request<Watch>) -> HandlerResult {
+    let current = match node.replica() {
+        Ok(replica) => is_current(&replica.status()),
+        Err(e) => return propose_error_response(&e),
+    };
+    let (config, index) = {
+        let state = node.state();
+        (state.config(), state.change_index())
+    };
+    if node.is_stopping() || !current && index == 0 {
+        return out_of_date_response();
+    }
+    let reply = WatchReply {
+        config,
+        index,
+        current,
+        ..WatchReply::default()
+    };
+    request.reply(&node.key, &reply)
+}
+
 fn reply_to_watch(node: &Arc<Node>, request: &Request<Watch>, reply: WatchReply) -> HandlerResult {
     if reply.complete {
         node.increment("watch.complete");
--- a/bin/control/tests/all/harness.rs
+++ b/bin/control/tests/all/harness.rs
@@ -228,6 +228,7 @@
         horizon: Millis(0),
         index: 0,
         wait_ms: Millis(wait_ms),
+        probe: false,
     }
 }
 
--- a/crates/api/src/watch.rs
+++ b/crates/api/src/watch.rs
@@ -117,6 +117,10 @@
     pub index: u64,
     /// Maximum time to wait for a change.
     pub wait_ms: Millis,
+    /// Asks only for the replica's configuration version and log index. A replica that doesn't
+    /// know the field replies in full.
+    #[serde(default)]
+    pub probe: bool,
 }
 
 /// A service with its profile, as nodes apply it.
--- a/crates/capacity/src/control.rs
+++ b/crates/capacity/src/control.rs
@@ -81,6 +81,7 @@
         horizon: Millis(0),
         index: 0,
         wait_ms: Millis(0),
+        probe: false,
     }
 }
 
--- a/crates/capacity/src/message.rs
+++ b/crates/capacity/src/message.rs
@@ -105,6 +105,7 @@
         horizon,
         index,
         wait_ms: Millis(1_000),
+        probe: false,
     };
     let one = exchange(encoded(&request)?, encoded(&reply)?);
     let points = [1, 10, 100, 1_000].map(|count| (f64::from(count), f64::from(count) * one));
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client with a pool of persistent connections.
 
 use std::error::Error;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, timeout};
 
 use crate::traffic::{Traffic, TrafficCounters};
 use crate::{Key, RpcError};
@@ -40,6 +42,15 @@
     pub via: SocketAddr,
 }
 
+/// Time limits of a call whose answer may be large.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LargeAnswerLimits {
+    /// Longest wait for the head of the answer.
+    pub head: Duration,
+    /// Longest wait for further bytes of its body.
+    pub stall: Duration,
+}
+
 /// Client for the HTTP interfaces between the system's processes.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -99,36 +110,65 @@
         Q: Serialize + Sync,
         A: DeserializeOwned,
     {
-        let call = self.exchange(peer, path, message);
-        let answer = match tokio::time::timeout(limit, call).await {
+        let call = Call { peer, path };
+        let exchange = async {
+            let response = self.send(call, message).await?;
+            let (answer, _) = self.receive(call, response, None).await?;
+            Ok(answer)
+        };
+        let answer = match timeout(limit, exchange).await {
             Ok(answer) => answer,
-            Err(_) => {
-                let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
-                Err(RpcError::Timeout {
-                    path: path.into(),
-                    peer,
-                    limit_ms,
-                })
-            }
+            Err(_) => Err(call.timed_out(limit)),
         };
-        self.traffic.record(path, |traffic| {
-            traffic.calls += 1;
-            traffic.failed += u64::from(answer.is_err());
-        });
+        self.record_end(path, answer.is_ok());
         answer
     }
 
-    async fn exchange<Q, A>(&self, peer: SocketAddr, path: &str, message: &Q) -> Result<A, RpcError>
+    /// Sends a message whose answer may be large; returns it with the time at which its
+    /// head arrived. The call goes on as long as bytes of the answer arrive, however slow the
+    /// link is: an answer that is given up has to cross the link again from its start.
+    ///
+    /// # Errors
+    /// See [`RpcError`].
+    pub async fn post_for_large<Q, A>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &Q,
+        limits: LargeAnswerLimits,
+    ) -> Result<(A, Instant), RpcError>
     where
         Q: Serialize + Sync,
         A: DeserializeOwned,
     {
-        let invalid = |message: String| RpcError::Invalid {
-            path: path.into(),
-            peer,
-            message: message.into(),
+        let call = Call { peer, path };
+        let exchange = async {
+            let response = match timeout(limits.head, self.send(call, message)).await {
+                Ok(response) => response?,
+                Err(_) => return Err(call.timed_out(limits.head)),
+            };
+            self.receive(call, response, Some(limits.stall)).await
         };
-        let body = rmp_serde::to_vec_named(message).map_err(|e| invalid(e.to_string()))?;
+        let answer = exchange.await;
+        self.record_end(path, answer.is_ok());
+        answer
+    }
+
+    fn record_end(&self, path: &str, succeeded: bool) {
+        self.traffic.record(path, |traffic| {
+            traffic.calls += 1;
+            traffic.failed += u64::from(!succeeded);
+        });
+    }
+
+    /// Sends a message and waits for the head of the response.
+    async fn send<Q: Serialize + Sync>(
+        &self,
+        call: Call<'_>,
+        message: &Q,
+    ) -> Result<ResponseHead, RpcError> {
+        let Call { peer, path } = call;
+        let body = rmp_serde::to_vec_named(message).map_err(|e| call.invalid(&e))?;
         let signed = self.key.sign_body(path, &[], body);
         let sent = signed.len() as u64;
         self.traffic.record(path, |traffic| traffic.sent += sent);
@@ -138,8 +178,8 @@
         let request = http::Request::post(format!("http://{address}{path}"))
             .header(http::header::CONTENT_TYPE, crate::CONTENT_TYPE)
             .body(Full::new(Bytes::from(signed)))
-            .map_err(|e| invalid(e.to_string()))?;
-        let response = self.http.request(request).await.map_err(|e| {
+            .map_err(|e| call.invalid(&e))?;
+        let head = self.http.request(request).await.map_err(|e| {
             let path = path.into();
             if e.is_connect() {
                 RpcError::Connect {
@@ -155,17 +195,24 @@
                 }
             }
         })?;
-        let status = response.status();
-        let answer = self
-            .read_body(response.into_body(), path)
-            .await
-            .map_err(|source| RpcError::ConnectionLost {
-                path: path.into(),
-                peer,
-                source,
-            })?;
+        let arrived = Instant::now();
+        Ok(ResponseHead { head, tag, arrived })
+    }
+
+    /// Receives, verifies and decodes the body of a response.
+    async fn receive<A: DeserializeOwned>(
+        &self,
+        call: Call<'_>,
+        response: ResponseHead,
+        stall: Option<Duration>,
+    ) -> Result<(A, Instant), RpcError> {
+        let Call { peer, path } = call;
+        let status = response.head.status();
+        let content = self
+            .read_body(call, response.head.into_body(), stall)
+            .await?;
         if !status.is_success() {
-            let message = String::from_utf8_lossy(&answer).into();
+            let message = String::from_utf8_lossy(&content).into();
             return Err(RpcError::Status {
                 path: path.into(),
                 peer,
@@ -173,27 +220,91 @@
                 message,
             });
         }
-        let Some((body, _)) = self.key.verify_body(path, &tag, &answer) else {
-            return Err(invalid(crate::TAG_MISMATCH.into()));
+        let Some((body, _)) = self.key.verify_body(path, &response.tag, &content) else {
+            return Err(call.invalid(&crate::TAG_MISMATCH));
         };
-        rmp_serde::from_slice(body).map_err(|e| invalid(e.to_string()))
+        let answer = rmp_serde::from_slice(body).map_err(|e| call.invalid(&e))?;
+        Ok((answer, response.arrived))
     }
 
+    /// Receives a body; `stall` limits the wait for each piece.
     async fn read_body(
         &self,
+        call: Call<'_>,
         body: Incoming,
-        path: &str,
-    ) -> Result<Vec<u8>, Box<dyn Error + Send + Sync>> {
+        stall: Option<Duration>,
+    ) -> Result<Vec<u8>, RpcError> {
         let mut body = Limited::new(body, MAX_ANSWER_BYTES);
         let mut content = Vec::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(piece) = frame?.into_data() else {
+        loop {
+            let frame = match stall {
+                Some(limit) => timeout(limit, body.frame())
+                    .await
+                    .map_err(|_| call.stalled(limit))?,
+                None => body.frame().await,
+            };
+            let Some(frame) = frame else {
+                return Ok(content);
+            };
+            let Ok(piece) = frame.map_err(|e| call.connection_lost(e))?.into_data() else {
                 continue;
             };
             self.traffic
-                .record(path, |traffic| traffic.received += piece.len() as u64);
+                .record(call.path, |traffic| traffic.received += piece.len() as u64);
             content.extend_from_slice(&piece);
         }
-        Ok(content)
     }
 }
+
+/// Target of a call.
+#[derive(Debug, Clone, Copy)]
+struct Call<'a> {
+    peer: SocketAddr,
+    path: &'a str,
+}
+
+/// Response of which only the head has arrived.
+struct ResponseHead {
+    head: http::Response<Incoming>,
+    /// Tag of the request, which the answer's tag covers.
+    tag: Vec<u8>,
+    arrived: Instant,
+}
+
+impl Call<'_> {
+    fn timed_out(self, limit: Duration) -> RpcError {
+        RpcError::Timeout {
+            path: self.path.into(),
+            peer: self.peer,
+            limit_ms: millis(limit),
+        }
+    }
+
+    fn stalled(self, limit: Duration) -> RpcError {
+        RpcError::Stalled {
+            path: self.path.into(),
+            peer: self.peer,
+            limit_ms: millis(limit),
+        }
+    }
+
+    fn connection_lost(self, source: Box<dyn Error + Send + Sync>) -> RpcError {
+        RpcError::ConnectionLost {
+            path: self.path.into(),
+            peer: self.peer,
+            source,
+        }
+    }
+
+    fn invalid(self, message: &impl Display) -> RpcError {
+        RpcError::Invalid {
+            path: self.path.into(),
+            peer: self.peer,
+            message: message.to_string().into(),
+        }
+    }
+}
+
+fn millis(limit: Duration) -> u64 {
+    u64::try_from(limit.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -17,6 +17,16 @@
         /// Time limit in milliseconds.
         limit_ms: u64,
     },
+    /// The reply began, but no further bytes of it arrived within the time limit.
+    #[error("{path} to {peer}: no further bytes of the answer within {limit_ms} ms")]
+    Stalled {
+        /// Path of the call.
+        path: Box<str>,
+        /// Address of the peer.
+        peer: SocketAddr,
+        /// Time limit in milliseconds.
+        limit_ms: u64,
+    },
     /// The connection could not be established, so the request was not delivered.
     #[error("{path} to {peer}: cannot connect: {source}")]
     Connect {
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -12,7 +12,7 @@
 mod server;
 mod traffic;
 
-pub use client::{AddressOverride, Client};
+pub use client::{AddressOverride, Client, LargeAnswerLimits};
 pub use error::RpcError;
 pub use key::{Key, KeyError, TAG_BYTES, Tag};
 pub use server::{CONTENT_TYPE, Request, response, text_response};
--- a/crates/state/tests/all/routes.rs
+++ b/crates/state/tests/all/routes.rs
@@ -92,6 +92,7 @@
         horizon: Millis(0),
         index,
         wait_ms: Millis(0),
+        probe: false,
     })
 }
 
--- a/crates/state/tests/all/tables.rs
+++ b/crates/state/tests/all/tables.rs
@@ -18,6 +18,7 @@
         horizon: log.state.horizon(),
         index,
         wait_ms: Millis(0),
+        probe: false,
     }
 }
 
--- a/crates/watcher/src/lib.rs
+++ b/crates/watcher/src/lib.rs
@@ -5,6 +5,7 @@
 //! rejected, whichever replica sends it. While control can't be reached the last view stays in
 //! force.
 
+mod download;
 mod heartbeat;
 mod initial;
 mod poll;
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -3,18 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use api::{Watch, WatchReply, path};
+use api::{Watch, path};
 use rpc::{Client, RpcError};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 use units::Millis;
 
+use crate::download::{self, Received};
 use crate::replica_selector::ReplicaSelector;
 use crate::{View, WatcherSettings, initial};
 
-/// Time allowed for the reply on top of the requested wait. The sum of both is the longest delay
-/// of a change when a replica freezes during a poll; the next replica replies at once.
+/// Time allowed for the head of the reply on top of the requested wait. The sum of both is the
+/// longest delay of a change when a replica freezes during a poll before it replies; the next
+/// replica replies at once.
 const REPLY_MARGIN: Duration = Duration::from_millis(400);
 
 /// Backoff after a failure in ms: doubles from the start up to the end of the range.
@@ -43,10 +45,10 @@
     let mut index = 0;
     let message = request(&settings, &view_out.borrow(), index);
     let begin = Instant::now();
-    let (peer, reply) = initial::fetch(&replicas, &client, &message, &log).await;
-    replicas.prefer(peer);
+    let initial = initial::fetch(&replicas, &client, &message, &log).await;
+    replicas.prefer(initial.peer);
     let attempts = client.traffic(path::WATCH);
-    let mut initial_reply = Some(reply);
+    let mut initial_reply = Some(initial);
     loop {
         let Some(peer) = replicas.select(Instant::now()) else {
             sleep(Duration::from_millis(BACKOFF_MS.end)).await;
@@ -55,13 +57,21 @@
         let view = Arc::clone(&view_out.borrow());
         let message = request(&settings, &view, index);
         let start = Instant::now();
-        let limit = settings.poll_wait + REPLY_MARGIN;
-        let result: Result<WatchReply, RpcError> = match initial_reply.take() {
-            Some(reply) => Ok(reply),
-            None => client.post(peer, path::WATCH, &message, limit).await,
+        let head_limit = settings.poll_wait + REPLY_MARGIN;
+        let result = match initial_reply.take() {
+            Some(received) => Ok(received),
+            None => {
+                let second = replicas.alternative(peer, start);
+                download::receive(&client, peer, second, &message, head_limit).await
+            }
         };
         match result {
-            Ok(reply) => {
+            Ok(Received {
+                peer,
+                reply,
+                head_at,
+            }) => {
+                replicas.prefer(peer);
                 backoff = BACKOFF_MS.start;
                 if view.is_older(&reply) || reply.index < index {
                     warn!(log, "replica sent an older configuration"; "peer" => %peer,
@@ -77,7 +87,7 @@
                 }
                 index = reply.index;
                 if reply.current {
-                    confirmed_out.send_replace(Some(Instant::now()));
+                    confirmed_out.send_replace(Some(head_at));
                 }
                 if let Some(next) = view.updated(&reply, Instant::now()) {
                     view_out.send_replace(Arc::new(next));
@@ -111,5 +121,6 @@
         horizon: view.horizon,
         index,
         wait_ms: Millis::from(settings.poll_wait),
+        probe: false,
     }
 }
--- a/crates/watcher/src/replica_selector.rs
+++ b/crates/watcher/src/replica_selector.rs
@@ -53,8 +53,24 @@
         self.current
     }
 
+    /// Replicas that did not fail recently, or all if there are none.
+    pub(crate) fn available(&self, now: Instant) -> Vec<SocketAddr> {
+        let mut all = self.in_order();
+        let is_available = |peer: &SocketAddr| self.avoided_until(peer, now).is_none();
+        if all.iter().any(is_available) {
+            all.retain(is_available);
+        }
+        all
+    }
+
+    /// Another replica than `peer` that did not fail recently, if there is one.
+    pub(crate) fn alternative(&self, peer: SocketAddr, now: Instant) -> Option<SocketAddr> {
+        let mut others = self.available(now).into_iter();
+        others.find(|other| *other != peer && self.avoided_until(other, now).is_none())
+    }
+
     /// All replicas, starting at the offset.
-    pub(crate) fn in_order(&self) -> Vec<SocketAddr> {
+    fn in_order(&self) -> Vec<SocketAddr> {
         let mut all = self.replicas.list();
         let first = self.offset % all.len().max(1);
         all.rotate_left(first);
@@ -70,7 +86,7 @@
     pub fn record_failure(&mut self, error: &RpcError, now: Instant) {
         if let Some(peer) = self.current.take() {
             let penalty = match error {
-                RpcError::Timeout { .. } => TIMEOUT_PENALTY,
+                RpcError::Timeout { .. } | RpcError::Stalled { .. } => TIMEOUT_PENALTY,
                 _ => FAILURE_PENALTY,
             };
             self.avoided.retain(|(p, until)| *p != peer && *until > now);
