Don't let a replica without entries confirm that a node is current

What callers could see: a reset with no_route although the route is there. A replica that lost its disk joins as a learner and hears the leader before it has the group's state. It told nodes that had no tables that they were current, with an empty view, and balancers then refuse what they would have dropped.

Change: ReplicaStatus::is_current asks for an applied entry, unless the replica leads. Until then it sends nodes to another one.

--- a/bin/control/src/http/internal.rs
+++ b/bin/control/src/http/internal.rs
@@ -125,18 +125,9 @@
     error_response(StatusCode::SERVICE_UNAVAILABLE, message)
 }
 
-/// Whether this replica leads or had recent contact with the leader.
+/// Whether this replica can confirm that a view is current.
 fn is_current(status: &ReplicaStatus) -> bool {
-    if status.role == Role::Leader {
-        return true;
-    }
-    let leader = status
-        .peers
-        .iter()
-        .find(|peer| Some(peer.id) == status.leader);
-    let last_contact = leader.and_then(|peer| peer.last_contact);
-    last_contact
-        .is_some_and(|time| Instant::now().saturating_duration_since(time) < LEADER_CONTACT_TIMEOUT)
+    status.is_current(Instant::now(), LEADER_CONTACT_TIMEOUT)
 }
 
 /// Receives a batch of request counts from an agent.
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -1,7 +1,7 @@
 //! Status of a replica.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use derive_more::Display;
 use units::ReplicaId;
@@ -48,6 +48,21 @@
     pub storage_error: Option<Box<str>>,
 }
 
+impl ReplicaStatus {
+    /// Whether the replica leads, or holds entries and heard the leader within `limit`. One that
+    /// has applied nothing may have lost its disk, and doesn't know yet what the group holds.
+    #[must_use]
+    pub fn is_current(&self, now: Instant, limit: Duration) -> bool {
+        if self.role == Role::Leader {
+            return true;
+        }
+        let leader = self.peers.iter().find(|peer| Some(peer.id) == self.leader);
+        let last_contact = leader.and_then(|peer| peer.last_contact);
+        let is_recent = last_contact.is_some_and(|at| now.saturating_duration_since(at) < limit);
+        is_recent && self.applied_index > 0
+    }
+}
+
 /// Status of another member, as known to this replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerStatus {
