--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -47,7 +47,7 @@
     let begin = Instant::now();
     let initial = initial::fetch(&replicas, &client, &message, &log).await;
     replicas.prefer(initial.peer);
-    let attempts = client.traffic(path::WATCH);
+    let traffic = client.traffic(path::WATCH);
     let mut initial_reply = Some(initial);
     loop {
         let Some(peer) = replicas.select(Instant::now()) else {
@@ -93,8 +93,8 @@
                     view_out.send_replace(Arc::new(next));
                     if std::mem::take(&mut first) {
                         info!(log, "first tables received"; "config" => reply.config.0, "peer" => %peer,
-                            "ms" => begin.elapsed().as_millis(), "calls" => attempts.calls,
-                            "received_bytes" => attempts.received);
+                            "ms" => begin.elapsed().as_millis(), "calls" => traffic.calls,
+                            "received_bytes" => traffic.received);
                     }
                     sleep_until(start + MIN_POLL_INTERVAL).await;
                 } else if start.elapsed() < MIN_IDLE_INTERVAL {
