Don't let a lagging replica end the receipt of a change

What callers could see: an added route that is served late. A change that takes longer than 1.5 s to arrive is requested from a second replica; one that lags replies at once that nothing changed, and the copy under way was thrown away.

Change: the second reply counts only if it is newer than what the node has.

Test: lagging_replica_does_not_end_a_slow_receipt failed before the change (the tables did not arrive within 5 s) and passes after.

--- a/crates/watcher/src/download.rs
+++ b/crates/watcher/src/download.rs
@@ -55,8 +55,9 @@
             Err(_) => other.await,
         },
         result = &mut other => match result {
-            Ok(received) => Ok(received),
-            Err(_) => first.await,
+            // A replica that lags replies at once that nothing changed.
+            Ok(received) if received.reply.index > message.index => Ok(received),
+            _ => first.await,
         },
     }
 }
--- a/crates/watcher/tests/slow_link.rs
+++ b/crates/watcher/tests/slow_link.rs
@@ -337,3 +337,16 @@
     wait_for_routes(&watcher, ROUTES).await;
     assert_eq!(rig.complete_tables(), 2, "a second copy, and no third");
 }
+
+/// Guards against a replica that lags and replies at once that nothing changed: its reply must not
+/// end the receipt of a change that another replica has.
+#[tokio::test]
+async fn lagging_replica_does_not_end_a_slow_receipt() {
+    let link = Link::with_kbps(THIN_KBPS);
+    let rig = Rig::start(nearest(Replica::new(ROUTES), link.clone())).await;
+    let watcher = rig.watcher();
+    wait_for_routes(&watcher, ROUTES).await;
+    link.set_kbps(BUSY_KBPS);
+    rig.replicas[0].changed.store(true, Ordering::Relaxed);
+    wait_for_routes(&watcher, 2 * ROUTES).await;
+}
