Let a long poll wait at a replica that has no entries yet

Change: contact decides whether a poll may wait; entries decide whether its reply confirms that the node is current.

--- a/bin/control/src/http/internal.rs
+++ b/bin/control/src/http/internal.rs
@@ -69,11 +69,13 @@
             Ok(replica) => replica,
             Err(e) => return propose_error_response(&e),
         };
-        let current = is_current(&replica.status());
+        let status = replica.status();
         if let Some(reply) = update {
+            let current = is_current(&status);
             return reply_to_watch(node, &request, WatchReply { current, ..reply });
         }
-        if node.is_stopping() || !current {
+        // A replica that hears the leader and has no entries yet may have some before the deadline.
+        if node.is_stopping() || !status.hears_leader(Instant::now(), LEADER_CONTACT_TIMEOUT) {
             return out_of_date_response();
         }
         if !matches!(timeout_at(deadline, changes.changed()).await, Ok(Ok(()))) {
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -49,17 +49,23 @@
 }
 
 impl ReplicaStatus {
-    /// Whether the replica leads, or holds entries and heard the leader within `limit`. One that
-    /// has applied nothing may have lost its disk, and doesn't know yet what the group holds.
+    /// Whether the replica leads, or heard the leader within `limit`.
     #[must_use]
-    pub fn is_current(&self, now: Instant, limit: Duration) -> bool {
+    pub fn hears_leader(&self, now: Instant, limit: Duration) -> bool {
         if self.role == Role::Leader {
             return true;
         }
         let leader = self.peers.iter().find(|peer| Some(peer.id) == self.leader);
         let last_contact = leader.and_then(|peer| peer.last_contact);
-        let is_recent = last_contact.is_some_and(|at| now.saturating_duration_since(at) < limit);
-        is_recent && self.applied_index > 0
+        last_contact.is_some_and(|at| now.saturating_duration_since(at) < limit)
+    }
+
+    /// Whether the replica leads, or hears the leader and holds entries. One that has applied
+    /// nothing may have lost its disk, and doesn't know yet what the group holds.
+    #[must_use]
+    pub fn is_current(&self, now: Instant, limit: Duration) -> bool {
+        let has_state = self.role == Role::Leader || self.applied_index > 0;
+        has_state && self.hears_leader(now, limit)
     }
 }
 
--- a/crates/replica/tests/status.rs
+++ b/crates/replica/tests/status.rs
@@ -43,5 +43,7 @@
         let status = status(role, applied, now, Duration::from_millis(silence_ms));
         let current = status.is_current(now, LIMIT);
         assert_eq!(current, expected, "{role} with {applied} entries");
+        let hears = status.hears_leader(now, LIMIT);
+        assert_eq!(hears, silence_ms < 1_000 || role == Role::Leader);
     }
 }
