Review: a daemon with an older route resets flows of the new service

Cause: a balancer polls again only 500 ms after its first view, and is ready at once. A route that moves to another service in that time is unknown to it; it searches the old service alone, whose agents answer the search with a reset.

Change: review/6, a script with stand-ins of its own (review/build-2.sh). Nothing is fixed.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the cases 6 to 10; needs the Rust compiler and no network.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+rustc -O --edition 2024 -o target/review-2/cases review/stand-in-2/main.rs
