--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10; needs the Rust compiler and no network.
+# Builds the stand-ins of the second review; needs the Rust compiler and no network.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/stand-in-2/host.rs
+++ b/review/stand-in-2/host.rs
@@ -87,12 +87,6 @@
             alive,
         })
     }
-
-    /// Ends the host as in a crash.
-    pub fn crash(&self, record: &Record) {
-        self.alive.store(false, Ordering::Release);
-        record.line(&format!("host {} crashes", self.name));
-    }
 }
 
 impl Drop for Host {
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -6,8 +6,6 @@
 mod host;
 mod packet;
 mod platform;
-mod rejoin;
-mod restart_after_start;
 mod rules;
 mod support;
 
@@ -26,9 +24,7 @@
         return ExitCode::from(2);
     };
     let result = match case.as_str() {
-        "restart-after-start" => restart_after_start::run(&record, !is_calm),
         "config-lag" => config_lag::run(&record, !is_calm),
-        "rejoin" => rejoin::run(&record, !is_calm),
         _ => Err("no such case".into()),
     };
     let (text, code) = match result {
--- a/review/stand-in-2/platform.rs
+++ b/review/stand-in-2/platform.rs
@@ -213,11 +213,6 @@
         Ok(())
     }
 
-    /// Starts a process that has been killed again, with the same settings.
-    pub fn start_again(&mut self, name: &str) -> std::io::Result<()> {
-        self.restart(name, Duration::ZERO)
-    }
-
     /// Whether all processes run.
     pub fn all_run(&mut self) -> bool {
         self.processes
@@ -371,11 +366,6 @@
     }
 }
 
-/// A configuration with one route.
-pub fn configuration(service: &str, target: SocketAddrV4) -> String {
-    configuration_of(7, &[(target, service)], &[service])
-}
-
 /// A configuration with these routes, each to one service.
 pub fn configuration_of(
     version: u64,
