--- a/review/stand-in-2/host.rs
+++ b/review/stand-in-2/host.rs
@@ -40,8 +40,6 @@
     pub runs: Mutex<HashMap<String, u32>>,
     /// Ports of clients whose flows are open here.
     pub open: Mutex<Vec<u16>>,
-    /// Ports of clients whose flows this host reset.
-    pub resets: Mutex<Vec<u16>>,
     /// Number of acknowledged reports, and when the last one was acknowledged.
     pub reports: Mutex<(u32, Option<Instant>)>,
 }
