Count a returned packet that was redirected before its outdated owner

What callers saw: on a route with several services, the caller of a flow whose backend server is gone waits until its deadline instead of getting a reset, if the balancer has an outdated owner cached and an agent redirected the packet on its way.

Cause: the balancer ignores a returned packet if a notice has named another owner since it sent it. It compared the cached owner with the first candidate only. A redirect puts the redirecting agent in front, so the outdated owner looked like a new one and was never forgotten.

The unit test failed before this change.

Why it works: every candidate in front of the end of such a search was visited or redirected the packet, so none of them is a newly named owner.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -159,7 +159,8 @@
             return;
         };
         if let Some((_, owner)) = self.owners.get(&flow, now) {
-            let assumed = header.hints.owner_first && header.candidates.first() == Some(&owner);
+            // An agent that redirected the packet comes before the owner.
+            let assumed = header.hints.owner_first && header.candidates.contains(&owner);
             if !assumed {
                 // A notice has named the owner since.
                 return;
--- a/crates/dispatch/tests/all/several.rs
+++ b/crates/dispatch/tests/all/several.rs
@@ -5,7 +5,7 @@
 use api::RouteView;
 use dispatch::Action;
 use units::Flow;
-use wire::{Header, Segment};
+use wire::{Flags, Header, Segment};
 
 use crate::common::{Harness, OTHER, SERVICE, candidate, data, flow, route, sent_headers};
 
@@ -114,6 +114,28 @@
     assert_eq!(searches(&mut harness).len(), 2, "the owner is forgotten");
 }
 
+/// Guards against a caller that waits for ever on a lost flow: the agent that the balancer presumed to be
+/// the owner, or the flow's home, had redirected the packet, and so comes before the owner.
+#[test]
+fn redirected_packet_of_an_outdated_owner_counts() {
+    let mut harness = Harness::new(vec![split_route()]);
+    harness.notice(2, open_flow());
+    let owned = harness.sent_header(&segment());
+    let home = owned.with_hop(1, Flags::default());
+    let redirected = Header {
+        epoch: owned.epoch,
+        ..home.redirected(candidate(3), Flags::default())
+    };
+    assert_ne!(redirected.candidates[0], candidate(2));
+    let sent = harness.not_held(&redirected, &segment());
+    assert_eq!(sent_headers(&sent)[0].service, OTHER);
+    // Another owner that a notice has named since is no outdated one.
+    let (mut harness, new) = (Harness::new(vec![split_route()]), 5);
+    harness.notice(new, open_flow());
+    assert!(!redirected.candidates.contains(&candidate(new)));
+    assert_eq!(harness.not_held(&redirected, &segment()), []);
+}
+
 /// Guards against a reset though a service of the route can't be searched: its members are unknown.
 #[test]
 fn service_without_a_table_rules_nothing_out() {
