Reset an open flow only after a linearizable read of the balancer's view

Flows that another balancer opens at the new service are reset when their packets reach the restarted one, while their host lives and has run their requests.

Cause: a search that finds nothing covers one service, under the tables of the agents that it visits. The agent at its end took that for proof, unless the balancer had marked the packet (`other_services`). Balancers knew the other services of the route, and the newest tables, only from their own view, which may be older than the flow: a node polls again up to 0.5 s after a change, and the view stays old for longer if the polled replica is frozen, cut off or behind, a link loses packets, the process was paused, or control has no quorum. Agents of the old service that are behind too have no newer version to compare.

Fix: no agent resets at the end of a search. It returns the packet to the balancer with the epoch of its table. Once every service of the route was searched, the balancer reads its view linearizably (`/v1/read`: the leader confirms with a quorum that it still leads, then sends what is newer) and resets the flow only if the read began after the packet came back, names no further service, and lists no member that joined after the table of the search. Else the packet is searched for where the read leads. Without a read, after 2 s, the packet is dropped; the next copy asks again.

Why it works: a flow is opened under a view that was committed before its SYN, so a read that begins after one of its packets includes that view, whatever made the balancer's own one old.

Peers of the previous build: a balancer's mark has the same bit, so old agents return the packet, too. Packets of old balancers that aren't marked are dropped at the end of a search instead of reset. Old control replicas answer 404: nothing is reset until control is upgraded, first as before.

Tests of forwarding that expected a reset by the agent now expect the return to the balancer with the epoch, and its simulation runs the balancer's part with a read; each of its outcomes is asserted as before. The dispatch test that agents aren't told of other services if there are none claimed what this fixes; in its place every packet of an open flow has to be marked.

--- a/bin/control/src/http/internal.rs
+++ b/bin/control/src/http/internal.rs
@@ -93,6 +93,29 @@
     }
 }
 
+/// Serves a linearizable read: with the reply, a node's view includes everything committed before the
+/// request.
+#[endpoint { method = POST, path = "/v1/read" }]
+pub async fn read(context: RequestContext<Arc<Node>>, body: UntypedBody) -> HandlerResult {
+    let node = context.context();
+    let request = Request::<Watch>::verify(&node.key, path::READ, &body)?;
+    node.increment("read");
+    let confirmed = match node.replica() {
+        Ok(replica) => replica.confirm_leadership().await,
+        Err(e) => Err(e),
+    };
+    if let Err(e) = confirmed {
+        return propose_error_response(&e);
+    }
+    match node.state().read_reply(&request.message) {
+        Some(reply) => watch_response(node, request.encode_reply(&node.key, &reply)?),
+        None => error_response(
+            StatusCode::CONFLICT,
+            "the view is newer than the group's state",
+        ),
+    }
+}
+
 /// Replies to a node that looks for a replica with tables, at any size of these.
 fn reply_to_probe(node: &Arc<Node>, request: &Request<Watch>) -> HandlerResult {
     let current = match node.replica() {
--- a/bin/control/src/http/mod.rs
+++ b/bin/control/src/http/mod.rs
@@ -58,6 +58,7 @@
     let mut api = ApiDescription::new();
     api.register(internal::heartbeat)?;
     api.register(internal::watch)?;
+    api.register(internal::read)?;
     api.register(internal::burn)?;
     api.register(internal::replicate)?;
     api.register(operator::list)?;
--- a/bin/control/tests/all/group.rs
+++ b/bin/control/tests/all/group.rs
@@ -75,6 +75,53 @@
     });
 }
 
+/// Guards against a linearizable read that misses a change: only the leader serves it, and only while a
+/// quorum confirms that it still leads.
+#[test]
+fn only_a_confirmed_leader_serves_linearizable_reads() {
+    let mut group = Group::start(program(), 3);
+    let leader = block_on(async {
+        let leader = wait_for_leader(&group, &[0, 1, 2]).await;
+        let mut operator = Operator::new(&group, leader);
+        assert_eq!(operator.put(0, profile(1)).await.0, 200);
+        for index in 0..3 {
+            match read(&group, index, 0).await {
+                Ok(reply) => assert_eq!((index, reply.config), (leader, Version(1))),
+                Err(RpcError::Status {
+                    status: 421,
+                    message,
+                    ..
+                }) => {
+                    assert_ne!(index, leader);
+                    let failure: Failure = serde_json::from_str(&message).unwrap();
+                    let address = group.addresses[leader].to_string();
+                    assert_eq!(failure.leader, Some(address.into()));
+                }
+                Err(other) => panic!("{other:?}"),
+            }
+        }
+        let newer = read(&group, leader, 7).await;
+        let refused = matches!(newer, Err(RpcError::Status { status: 409, .. }));
+        assert!(refused, "a view of another group: {newer:?}");
+        leader
+    });
+    (0..3)
+        .filter(|index| *index != leader)
+        .for_each(|index| group.kill(index));
+    block_on(async {
+        let alone = read(&group, leader, 1).await;
+        assert!(alone.is_err(), "{alone:?}");
+    });
+}
+
+/// Reads what is newer than a configuration version from one replica.
+async fn read(group: &Group, index: usize, config: u64) -> Result<WatchReply, RpcError> {
+    let request = watch_request(config, 0);
+    let peer = group.addresses[index];
+    let limit = Duration::from_secs(2);
+    group.client().post(peer, path::READ, &request, limit).await
+}
+
 /// Guards against a follower whose long polls miss changes that the leader accepted.
 #[test]
 fn every_replica_serves_long_polls() {
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -40,6 +40,9 @@
     pub const HEARTBEAT: &str = "/v1/heartbeat";
     /// Long poll for tables and profiles at any control replica.
     pub const WATCH: &str = "/v1/watch";
+    /// Linearizable read of tables and profiles at the control leader; the request is a
+    /// [`Watch`](crate::Watch) whose wait is ignored.
+    pub const READ: &str = "/v1/read";
     /// Request counts for the error budget burn report, to the control leader.
     pub const BURN: &str = "/v1/burn";
     /// Messages of the replicated log.
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddrV4;
 
-use api::RouteView;
 use derive_more::Display;
 use steering::OwnerCache;
 use tokio::time::Instant;
@@ -32,6 +31,17 @@
     },
     /// Answer the SYN with a reset.
     Refuse(DropReason),
+    /// Send the packet of an open flow, which waited for a read of the view, with this header.
+    Search {
+        /// Flow of the packet.
+        flow: Flow,
+        /// Header of the encapsulation.
+        header: Header,
+        /// Packet of the caller.
+        inner: Box<[u8]>,
+    },
+    /// Read the view from control, so that a later directory includes all that is committed now.
+    ReadView,
     /// Send the caller a TCP reset: no service of the route has its flow.
     Reset {
         /// Flow to reset.
@@ -41,6 +51,8 @@
     },
     /// Drop the packet.
     Drop(DropReason),
+    /// Control did not serve a read of the view in time; the packet that waited for it is dropped.
+    Unread(Flow),
 }
 
 /// Reason for refusing or dropping a packet; its name is part of the metric's name.
@@ -87,7 +99,11 @@
             centre,
             started: now,
             owners: OwnerCache::new(settings.max_owners, settings.owner_ttl),
-            absences: Absences::new(settings.max_absences, settings.absence_ttl),
+            absences: Absences::new(
+                settings.max_absences,
+                settings.absence_ttl,
+                settings.read_timeout,
+            ),
             pending_syns: PendingSyns::default(),
             suspects: Suspects::new(settings.failure_threshold, settings.avoid_duration),
             link: LinkLimiter::new(settings.link.clone()),
@@ -145,13 +161,15 @@
     }
 
     /// Handles a packet that the agents of `header`'s service returned, because none of their backend
-    /// servers has its flow. Once this holds for every service of the route, the caller gets a reset.
+    /// servers has its flow. Once this holds for every service of the route, and a read of the view
+    /// has shown that there is no other, the caller gets a reset.
     pub fn handle_not_held(
         &mut self,
         now: Instant,
         directory: &Directory,
         header: &Header,
         segment: &Segment,
+        inner: &[u8],
         out: &mut Vec<Action>,
     ) {
         let flow = segment.flow;
@@ -167,21 +185,55 @@
             }
             self.owners.remove(&flow);
         }
-        let searched = self.absences.record(now, segment, header.service);
-        let services = directory::possible_services(route, &flow);
-        let left: Vec<_> = services.filter(|s| !searched.contains(s)).collect();
-        if left.is_empty() {
+        let search = (header.service, header.epoch);
+        let absence = self.absences.record(now, segment, search);
+        let left = directory.unsearched(route, &flow, absence.searched());
+        if !left.is_empty() {
+            // Without a presumed owner, all services were searched at the same time.
+            if header.hints.owner_first {
+                out.extend(self.search(directory, &flow, left).map(Action::Send));
+            }
+            return;
+        }
+        if absence.is_covered_by(directory.read_at()) {
             self.absences.remove(&flow);
             let seq = segment.ack_number;
-            return out.push(Action::Reset { flow, seq });
+            out.push(Action::Reset { flow, seq });
+        } else if self.absences.wait(now, &flow, inner) {
+            out.push(Action::ReadView);
         }
-        // Without a presumed owner, all services were searched at the same time.
-        if header.hints.owner_first {
-            self.search(directory, route, &flow, left, out);
+    }
+
+    /// Handles a directory that includes a newer read of the view: packets that waited for it are
+    /// answered with a reset, or searched for in the services that they were not searched for in yet.
+    pub fn handle_read(&mut self, now: Instant, directory: &Directory, out: &mut Vec<Action>) {
+        let Some(read_at) = directory.read_at() else {
+            return;
+        };
+        for waiting in self.absences.take_read(now, read_at) {
+            let flow = waiting.flow;
+            let Some(route) = directory.route(flow.service) else {
+                self.absences.remove(&flow);
+                continue;
+            };
+            let left = directory.unsearched(route, &flow, &waiting.searched);
+            if left.is_empty() {
+                self.absences.remove(&flow);
+                let seq = waiting.ack_number;
+                out.push(Action::Reset { flow, seq });
+                continue;
+            }
+            let search = |header| Action::Search {
+                flow,
+                header,
+                inner: waiting.inner.clone(),
+            };
+            out.extend(self.search(directory, &flow, left).map(search));
         }
     }
 
-    /// Sends pending SYNs whose timeout expired to their next candidates.
+    /// Sends pending SYNs whose timeout expired to their next candidates, and drops packets that waited
+    /// too long for a read of the view.
     pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some((flow, pending)) = self.pending_syns.take_due(now) {
             if let Some(target) = pending.header.target() {
@@ -210,12 +262,22 @@
             });
         }
         self.suspects.remove_expired(now);
+        while let Some(flow) = self.absences.take_timed_out(now) {
+            out.push(Action::Unread(flow));
+        }
     }
 
     /// Time at which the next tick is due.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
-        self.pending_syns.deadline()
+        let deadlines = [self.pending_syns.deadline(), self.absences.deadline()];
+        deadlines.into_iter().flatten().min()
+    }
+
+    /// Number of packets that wait for a read of the view, at most.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.absences.waiting()
     }
 
     /// Number of flows whose owner is known.
@@ -295,38 +357,32 @@
             let epoch = steering.map_or(Epoch(1), |s| s.current().epoch);
             let mut header = self.header(service, epoch, candidates);
             header.hints.owner_first = true;
-            header.hints.other_services = directory::has_other_services(route, service);
+            header.hints.return_unheld = true;
             return out.push(Action::Send(header));
         }
         let before = out.len();
         let services = directory::possible_services(route, flow);
-        self.search(directory, route, flow, services, out);
+        out.extend(self.search(directory, flow, services).map(Action::Send));
         if out.len() == before {
             out.push(Action::Drop(DropReason::NoMember));
         }
     }
 
-    /// Sends a packet to the agents of each service that may know the owner of its flow.
+    /// Headers with which a packet is sent to the agents of each service that may know the owner of its
+    /// flow.
     fn search(
         &self,
         directory: &Directory,
-        route: &RouteView,
         flow: &Flow,
         services: impl IntoIterator<Item = ServiceId>,
-        out: &mut Vec<Action>,
-    ) {
-        for service in services {
-            let Some(steering) = directory.steering(service) else {
-                continue;
-            };
+    ) -> impl Iterator<Item = Header> {
+        services.into_iter().filter_map(|service| {
+            let steering = directory.steering(service)?;
             let candidates = steering.lookup(flow.hash(), &self.centre);
-            if candidates.is_empty() {
-                continue;
-            }
             let mut header = self.header(service, steering.current().epoch, candidates);
-            header.hints.other_services = directory::has_other_services(route, service);
-            out.push(Action::Send(header));
-        }
+            header.hints.return_unheld = true;
+            (!candidates.is_empty()).then_some(header)
+        })
     }
 
     fn header(&self, service: ServiceId, epoch: Epoch, candidates: Candidates) -> Header {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,8 +6,9 @@
 //! timeout it sends the SYN to the next candidate, so a failed agent delays a
 //! new flow only by that timeout. A flow may belong to any service of its route,
 //! and the agents of one service don't know the others: the balancer resets the
-//! flow once each of them was searched without finding it. Balancers share none of this state; if it is
-//! lost, packets take one more hop.
+//! flow once each of them was searched without finding it, and a linearizable
+//! read of its view has shown that there is no other. Balancers share none of
+//! this state; if it is lost, packets take one more hop.
 
 mod absences;
 mod directory;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -24,6 +24,9 @@
     pub max_absences: usize,
     /// Time within which all services of a route are searched for a packet's flow.
     pub absence_ttl: Duration,
+    /// Time for which the packet of a flow that no service has waits for a read of the view. It is
+    /// longer than a caller waits before it sends the packet again.
+    pub read_timeout: Duration,
     /// Number of consecutive unanswered SYNs after which an agent is avoided.
     pub failure_threshold: u8,
     /// Time for which an agent is avoided after its last unanswered SYN.
@@ -43,6 +46,7 @@
             owner_ttl: Duration::from_secs(60),
             max_absences: 4_096,
             absence_ttl: Duration::from_secs(1),
+            read_timeout: Duration::from_secs(2),
             failure_threshold: 2,
             avoid_duration: Duration::from_secs(1),
             link: LinkSettings::default(),
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod common;
 mod link;
 mod packets;
+mod reads;
 mod several;
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -87,12 +87,12 @@
         /// Why the flow is reset.
         reason: Reason,
     },
-    /// Send the packet back to the balancer: this service doesn't have its flow, but another service
-    /// of the route may.
+    /// Send the packet back to the balancer: this service doesn't have its flow.
     NotHeld {
         /// Address for notices to the balancer.
         to: SocketAddrV4,
-        /// Header with which the packet arrived, or with which its search ended.
+        /// Header with which the packet arrived, or with which its search ended; its epoch is that of
+        /// this agent's table.
         header: Header,
     },
     /// Drop the packet.
@@ -167,8 +167,6 @@
     NoCandidate,
     /// The backend server doesn't have the flow any more.
     Lost,
-    /// No member has the flow.
-    NotHeld,
     /// The backend server restarted.
     Restarted,
     /// The SYN timed out in the admission queue, or the queue was full.
@@ -185,6 +183,8 @@
     OtherService,
     /// No agent is known to have the flow.
     Unknown,
+    /// No agent has the flow, and the balancer, of an earlier version, doesn't take the packet back.
+    Unreturnable,
     /// No agent can accept the SYN, and this agent started only recently.
     Unsettled,
     /// A caller sent a packet of a kind that only backend servers send.
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -4,7 +4,6 @@
 use wire::Segment;
 
 use crate::occupancy::RequestState;
-use crate::search::end_search;
 use crate::{Action, DropReason, Forwarder, Reason, Timing};
 
 impl Forwarder {
@@ -78,7 +77,7 @@
             // Only the agent whose backend server opened the flow sends the notice behind a
             // redirect, so the flow is lost.
             let action = if header.is_redirected_at_first_hop() && !segment.rst {
-                end_search(&header, segment, Reason::Lost)
+                self.end_search(&header)
             } else {
                 self.forward_to_next(now, &header, segment, Reason::Returned)
             };
--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -7,13 +7,14 @@
 //! announced its shutdown recently are skipped, but their backend servers may
 //! have the flow, so such a search ends without a reset.
 //!
-//! A search covers one service. If the route has several, a search that finds
-//! nothing ends with the packet's return to the balancer.
+//! A search covers one service under the tables that its agents have. A search
+//! that finds nothing ends with the packet's return to the balancer, which knows
+//! the other services of the route and asks control whether its view is current.
 
 use std::net::SocketAddrV4;
 
 use tokio::time::Instant;
-use units::Flow;
+use units::{Epoch, Flow};
 use wire::{Candidate, Candidates, Flags, Header, MAX_CANDIDATES, Segment, Sweep};
 
 use crate::{Action, DropReason, Forwarder, Reason};
@@ -39,7 +40,7 @@
         let returned = self.offers.was_returned(&flow);
         let informed = header.is_redirected_at_first_hop() && may_offer;
         if informed && returned && !segment.rst {
-            return out.push(end_search(header, segment, Reason::Lost));
+            return out.push(self.end_search(header));
         }
         let recently_started = self.may_have_unknown_flows(now);
         let (may_be_running, may_have_flow) = match self.backend {
@@ -83,8 +84,8 @@
     }
 
     /// Forwards a packet, other than a SYN, to the next candidate or, after the last, to the next
-    /// member of the search. If every member is certain not to have the flow, its caller gets a
-    /// reset.
+    /// member of the search. If every member is certain not to have the flow, the packet goes back
+    /// to the balancer.
     pub(crate) fn forward_to_next(
         &self,
         now: Instant,
@@ -153,7 +154,21 @@
         if header.hints.owner_uncertain || !complete || segment.rst {
             return Action::Drop(DropReason::Unknown);
         }
-        end_search(&header, segment, Reason::NotHeld)
+        self.end_search(&header)
+    }
+
+    /// Ends the search for a flow that no backend server of this service has. The returned header has
+    /// the epoch of the table under which that is certain.
+    pub(crate) fn end_search(&self, header: &Header) -> Action {
+        if !header.hints.return_unheld {
+            return Action::Drop(DropReason::Unreturnable);
+        }
+        let epoch = Epoch(self.epoch());
+        let header = Header { epoch, ..*header };
+        match header.hints.origin {
+            Some(to) => Action::NotHeld { to, header },
+            None => Action::Drop(DropReason::Unknown),
+        }
     }
 
     /// Puts the members of the local data centre in front of the others. This agent is the flow's
@@ -212,25 +227,6 @@
     }
 }
 
-/// Ends the search for a flow that no backend server of this service has. Only the balancer knows the
-/// other services of the route, so it decides if there are any.
-pub(crate) fn end_search(header: &Header, segment: &Segment, reason: Reason) -> Action {
-    if !header.hints.other_services {
-        return Action::Reset {
-            flow: segment.flow,
-            seq: segment.ack_number,
-            reason,
-        };
-    }
-    match header.hints.origin {
-        Some(to) => Action::NotHeld {
-            to,
-            header: *header,
-        },
-        None => Action::Drop(DropReason::Unknown),
-    }
-}
-
 fn is_listed(list: &Candidates, member: SocketAddrV4) -> bool {
     list.iter().any(|listed| listed.address == member)
 }
--- a/crates/forwarding/tests/all/common.rs
+++ b/crates/forwarding/tests/all/common.rs
@@ -130,12 +130,24 @@
         candidates: numbers.iter().map(|n| candidate(*n)).collect(),
         hints: Hints {
             origin: Some(balancer()),
+            return_unheld: true,
             ..Hints::default()
         },
         ..Header::default()
     }
 }
 
+/// Asserts that an agent returns a packet to the balancer, with the epoch of its table.
+pub fn assert_not_held(action: &Action, epoch: u64) {
+    match action {
+        Action::NotHeld { to, header } => {
+            assert_eq!((*to, header.epoch), (balancer(), Epoch(epoch)));
+            assert!(header.hints.return_unheld);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
 /// Member numbers of a header's candidates.
 pub fn candidate_numbers(header: &Header) -> Vec<u8> {
     let number = |c: &Candidate| c.address.ip().octets()[3];
--- a/crates/opaque/src/balancer/mod.rs
+++ b/crates/opaque/src/balancer/mod.rs
@@ -66,6 +66,7 @@
         let (directory_sender, directory) = watch::channel(Arc::new(Directory::default()));
         tokio::spawn(update_directory(
             watcher.view(),
+            watcher.reader().read_at(),
             directory_sender,
             log.clone(),
         ));
@@ -93,6 +94,7 @@
             dispatcher,
             directory: directory.clone(),
             view_confirmed: watcher.confirmed_at(),
+            reader: watcher.reader(),
             caller_port: settings.packets.port(),
             stats: Arc::clone(&stats),
             telemetry: LoopTelemetry::new(telemetry, Instant::now()),
@@ -141,17 +143,32 @@
     }
 }
 
-/// Builds a new directory for each view.
+/// Builds a new directory for each view and each linearizable read.
 async fn update_directory(
     mut view: watch::Receiver<Arc<View>>,
+    mut read_at: watch::Receiver<Option<Instant>>,
     sender: watch::Sender<Arc<Directory>>,
     log: Logger,
 ) {
-    while view.changed().await.is_ok() {
+    let mut last = Arc::clone(&view.borrow());
+    loop {
+        let changed = tokio::select! {
+            changed = view.changed() => changed,
+            changed = read_at.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+        // In this order: a view that is taken after the time of a read includes the read.
+        let read_at = *read_at.borrow_and_update();
         let newest = Arc::clone(&view.borrow_and_update());
-        let directory = sender.borrow().updated(&newest);
-        info!(log, "configuration and tables applied"; "config" => newest.config.0,
-            "routes" => directory.route_count(), "services" => newest.services.len());
-        sender.send_replace(Arc::new(directory));
+        let mut directory = Directory::clone(&sender.borrow());
+        if !Arc::ptr_eq(&newest, &last) {
+            directory = directory.updated(&newest);
+            info!(log, "configuration and tables applied"; "config" => newest.config.0,
+                "routes" => directory.route_count(), "services" => newest.services.len());
+            last = newest;
+        }
+        sender.send_replace(Arc::new(directory.with_read_at(read_at)));
     }
 }
--- a/crates/opaque/src/balancer/outcome.rs
+++ b/crates/opaque/src/balancer/outcome.rs
@@ -25,6 +25,15 @@
     /// A reset was sent to the caller, as no service of the route has the flow.
     #[display("reset.not_held")]
     Reset,
+    /// A read of the view was requested, as no known service has the flow of a packet.
+    #[display("read_requested")]
+    ReadRequested,
+    /// A packet that waited for a read of the view was searched for in further services.
+    #[display("searched_again")]
+    SearchedAgain,
+    /// A packet that waited for a read of the view was dropped, as control did not serve it in time.
+    #[display("unread")]
+    Unread,
     /// A SYN was refused with a reset to the caller.
     #[display("refused.{_0}")]
     Refused(DropReason),
--- a/crates/opaque/src/balancer/packet_loop.rs
+++ b/crates/opaque/src/balancer/packet_loop.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 use units::Flow;
+use watcher::ViewReader;
 use wire::{Codec, Header, MAX_DATAGRAM_BYTES, MAX_INNER_BYTES, Message, PacketError, Segment};
 
 use super::outcome::Outcome;
@@ -39,6 +40,7 @@
     pub(super) directory: watch::Receiver<Arc<Directory>>,
     /// Time at which control last confirmed the view.
     pub(super) view_confirmed: watch::Receiver<Option<Instant>>,
+    pub(super) reader: ViewReader,
     /// Port at which callers receive packets.
     pub(super) caller_port: u16,
     pub(super) stats: Arc<BalancerStats>,
@@ -58,9 +60,14 @@
             tokio::select! {
                 _ = self.notice_socket.ready(Interest::READABLE) => {}
                 _ = self.packet_socket.ready(Interest::READABLE) => {}
+                // The watcher ends only with the process.
+                _ = self.directory.changed() => self.directory.mark_changed(),
                 () = sleep_until(due) => {}
             }
             self.telemetry.check_wakeup(since, due);
+            if self.directory.has_changed().unwrap_or(false) {
+                self.apply_directory(&mut actions, &mut out);
+            }
             self.receive_notices(&mut buffer, &mut actions, &mut out);
             self.receive_packets(&mut buffer, &mut actions, &mut out);
             let now = Instant::now();
@@ -75,6 +82,15 @@
         }
     }
 
+    fn apply_directory(&mut self, actions: &mut Vec<Action>, out: &mut Vec<u8>) {
+        let directory = Arc::clone(&self.directory.borrow_and_update());
+        self.dispatcher
+            .handle_read(Instant::now(), &directory, actions);
+        for action in actions.drain(..) {
+            self.execute(action, &[], None, out);
+        }
+    }
+
     fn receive_notices(&mut self, buffer: &mut [u8], actions: &mut Vec<Action>, out: &mut Vec<u8>) {
         let now = Instant::now();
         for _ in 0..BATCH_SIZE {
@@ -111,14 +127,14 @@
         };
         let directory = Arc::clone(&self.directory.borrow());
         self.dispatcher
-            .handle_not_held(now, &directory, header, &segment, actions);
+            .handle_not_held(now, &directory, header, &segment, inner, actions);
         for action in actions.drain(..) {
             self.execute(action, inner, Some(&segment), out);
         }
     }
 
     fn receive_packets(&mut self, buffer: &mut [u8], actions: &mut Vec<Action>, out: &mut Vec<u8>) {
-        let directory = Arc::clone(&self.directory.borrow_and_update());
+        let directory = Arc::clone(&self.directory.borrow());
         let now = Instant::now();
         let is_current = self
             .view_confirmed
@@ -173,6 +189,31 @@
                 }
                 self.send(&header, &inner, out);
             }
+            Action::Search {
+                flow,
+                header,
+                inner,
+            } => {
+                self.telemetry.count(Outcome::SearchedAgain);
+                if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
+                    info!(log, "view was read; packet sent to agents of further services";
+                        "flow" => %flow, "to" => target(&header), "service" => header.service.0,
+                        "epoch" => header.epoch.0);
+                }
+                self.send(&header, &inner, out);
+            }
+            Action::ReadView => {
+                self.telemetry.count(Outcome::ReadRequested);
+                self.reader.request(Instant::now());
+            }
+            Action::Unread(flow) => {
+                self.telemetry.count(Outcome::Unread);
+                let (config, age) = self.view();
+                if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
+                    warn!(log, "dropped"; "flow" => %flow, "reason" => "unread",
+                        "config" => config, "view_age_ms" => age);
+                }
+            }
             Action::Refuse(reason) => {
                 self.telemetry.count(Outcome::Refused(reason));
                 if let Some(segment) = segment {
@@ -183,9 +224,14 @@
             Action::Reset { flow, seq } => {
                 self.telemetry.count(Outcome::Reset);
                 let (config, age) = self.view();
+                let read = self
+                    .directory
+                    .borrow()
+                    .read_at()
+                    .map(|at| millis(at.elapsed()));
                 if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
                     warn!(log, "reset"; "flow" => %flow, "reason" => "not_held",
-                        "config" => config, "view_age_ms" => age);
+                        "config" => config, "view_age_ms" => age, "read_age_ms" => read);
                 }
                 self.reset(flow, seq, out);
             }
@@ -232,7 +278,7 @@
     /// Configuration version in force, and the time in ms since control confirmed it.
     fn view(&self) -> (u64, Option<u64>) {
         let confirmed = *self.view_confirmed.borrow();
-        let age = confirmed.map(|at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let age = confirmed.map(|at| millis(at.elapsed()));
         (self.directory.borrow().config_version().0, age)
     }
 
@@ -286,6 +332,7 @@
             [
                 ("owners", dispatcher.owner_count() as u64),
                 ("config", config),
+                ("waiting", dispatcher.waiting() as u64),
                 ("transfers", transfers as u64),
                 ("transfers_most", limit.unwrap_or(0) as u64),
             ]
@@ -293,6 +340,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn target(header: &Header) -> Option<String> {
     header.target().map(|target| target.address.to_string())
 }
--- a/crates/state/src/watch.rs
+++ b/crates/state/src/watch.rs
@@ -54,6 +54,20 @@
         changed.then_some(reply)
     }
 
+    /// Reply to a linearizable read; `None` if the node's view is newer than this state.
+    #[must_use]
+    pub fn read_reply(&self, watch: &Watch) -> Option<WatchReply> {
+        if watch.config > self.config || watch.index > self.index {
+            return None;
+        }
+        let reply = self.watch_reply(watch);
+        let reply = reply.unwrap_or_else(|| self.unchanged_reply(watch));
+        Some(WatchReply {
+            current: true,
+            ..reply
+        })
+    }
+
     /// Reply to a long poll that ends without a change.
     #[must_use]
     pub fn unchanged_reply(&self, watch: &Watch) -> WatchReply {
--- a/crates/watcher/src/download.rs
+++ b/crates/watcher/src/download.rs
@@ -34,7 +34,7 @@
     message: &Watch,
     head_limit: Duration,
 ) -> Result<Received, RpcError> {
-    let first = request(client, peer, message, head_limit);
+    let first = request(client, peer, path::WATCH, message, head_limit);
     tokio::pin!(first);
     tokio::select! {
         result = &mut first => return result,
@@ -47,7 +47,7 @@
         wait_ms: Millis(0),
         ..message.clone()
     };
-    let other = request(client, second, &message, head_limit);
+    let other = request(client, second, path::WATCH, &message, head_limit);
     tokio::pin!(other);
     tokio::select! {
         result = &mut first => match result {
@@ -62,9 +62,11 @@
     }
 }
 
-async fn request(
+/// Requests a reply from one replica at a path.
+pub(crate) async fn request(
     client: &Client,
     peer: SocketAddr,
+    path: &str,
     message: &Watch,
     head_limit: Duration,
 ) -> Result<Received, RpcError> {
@@ -72,7 +74,7 @@
         head: head_limit,
         stall: STALL_LIMIT,
     };
-    let call = client.post_for_large(peer, path::WATCH, message, limits);
+    let call = client.post_for_large(peer, path, message, limits);
     let (reply, head_at) = call.await?;
     Ok(Received {
         peer,
--- a/crates/watcher/src/lib.rs
+++ b/crates/watcher/src/lib.rs
@@ -1,7 +1,7 @@
 //! Keeps a node's tables and profiles current.
 //!
 //! One task sends heartbeats to the control leader, another one keeps a long poll open at any
-//! control replica. Versions never decrease: a reply that is older than the node's view is
+//! control replica, and a third one makes linearizable reads on request. Versions never decrease: a reply that is older than the node's view is
 //! rejected, whichever replica sends it. While control can't be reached the last view stays in
 //! force.
 
@@ -9,8 +9,10 @@
 mod heartbeat;
 mod initial;
 mod poll;
+mod reader;
 mod replica_selector;
 mod replicas;
+mod store;
 mod view;
 
 use std::sync::Arc;
@@ -25,8 +27,11 @@
 use units::{DataCentre, HostName, Incarnation, Region};
 
 pub use initial::hedge;
+use reader::ReadTask;
+pub use reader::ViewReader;
 pub use replica_selector::ReplicaSelector;
 pub use replicas::Replicas;
+use store::ViewStore;
 pub use view::{MAX_EARLIER_TABLES, Tables, View};
 
 /// Identity of the node and addresses of control.
@@ -96,6 +101,7 @@
     view: watch::Receiver<Arc<View>>,
     control_status: watch::Receiver<ControlStatus>,
     confirmed_at: watch::Receiver<Option<Instant>>,
+    reader: ViewReader,
     sender: Arc<heartbeat::HeartbeatSender>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -119,14 +125,20 @@
             view.clone(),
             Box::new(payload),
         ));
+        let store = Arc::new(ViewStore::new(Arc::clone(&settings), view_out));
+        let replicas = ReplicaSelector::new(Arc::clone(&settings.control), 0);
+        let (reads, reader) =
+            ReadTask::new(client.clone(), log.clone(), Arc::clone(&store), replicas);
         let tasks = vec![
             tokio::spawn(Arc::clone(&sender).run(status_out)),
-            tokio::spawn(poll::run(settings, client, log, view_out, confirmed_out)),
+            tokio::spawn(poll::run(settings, client, log, store, confirmed_out)),
+            tokio::spawn(reads.run()),
         ];
         Self {
             view,
             control_status,
             confirmed_at,
+            reader,
             sender,
             tasks,
         }
@@ -144,6 +156,12 @@
         self.confirmed_at.clone()
     }
 
+    /// Requests linearizable reads of the view.
+    #[must_use]
+    pub fn reader(&self) -> ViewReader {
+        self.reader.clone()
+    }
+
     /// Newest reply to a heartbeat.
     #[must_use]
     pub fn control_status(&self) -> watch::Receiver<ControlStatus> {
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use api::{Watch, path};
+use api::path;
 use rpc::{Client, RpcError};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
-use units::Millis;
 
 use crate::download::{self, Received};
 use crate::replica_selector::ReplicaSelector;
-use crate::{View, WatcherSettings, initial};
+use crate::store::ViewStore;
+use crate::{WatcherSettings, initial};
 
 /// Time allowed for the head of the reply on top of the requested wait. The sum of both is the
 /// longest delay of a change when a replica freezes during a poll before it replies; the next
@@ -33,7 +33,7 @@
     settings: Arc<WatcherSettings>,
     client: Client,
     log: Logger,
-    view_out: watch::Sender<Arc<View>>,
+    store: Arc<ViewStore>,
     confirmed_out: watch::Sender<Option<Instant>>,
 ) {
     // A random offset spreads the nodes' polls over all replicas.
@@ -41,9 +41,7 @@
         ReplicaSelector::new(Arc::clone(&settings.control), rand::random_range(0..64));
     let mut backoff = BACKOFF_MS.start;
     let mut first = true;
-    // Log index that the view reflects.
-    let mut index = 0;
-    let message = request(&settings, &view_out.borrow(), index);
+    let message = store.request();
     let begin = Instant::now();
     let initial = initial::fetch(&replicas, &client, &message, &log).await;
     replicas.prefer(initial.peer);
@@ -54,8 +52,7 @@
             sleep(Duration::from_millis(BACKOFF_MS.end)).await;
             continue;
         };
-        let view = Arc::clone(&view_out.borrow());
-        let message = request(&settings, &view, index);
+        let message = store.request();
         let start = Instant::now();
         let head_limit = settings.poll_wait + REPLY_MARGIN;
         let result = match initial_reply.take() {
@@ -73,9 +70,9 @@
             }) => {
                 replicas.prefer(peer);
                 backoff = BACKOFF_MS.start;
-                if view.is_older(&reply) || reply.index < index {
+                if reply.config < message.config || reply.index < message.index {
                     warn!(log, "replica sent an older configuration"; "peer" => %peer,
-                        "held" => view.config.0, "offered" => reply.config.0);
+                        "held" => message.config.0, "offered" => reply.config.0);
                     let error = RpcError::Invalid {
                         path: path::WATCH.into(),
                         peer,
@@ -85,12 +82,10 @@
                     sleep(MIN_IDLE_INTERVAL).await;
                     continue;
                 }
-                index = reply.index;
                 if reply.current {
                     confirmed_out.send_replace(Some(head_at));
                 }
-                if let Some(next) = view.updated(&reply, Instant::now()) {
-                    view_out.send_replace(Arc::new(next));
+                if store.apply(&reply) {
                     if std::mem::take(&mut first) {
                         info!(log, "first tables received"; "config" => reply.config.0, "peer" => %peer,
                             "ms" => begin.elapsed().as_millis(), "calls" => traffic.calls,
@@ -112,15 +107,3 @@
         }
     }
 }
-
-fn request(settings: &WatcherSettings, view: &View, index: u64) -> Watch {
-    Watch {
-        host: settings.host.clone(),
-        scope: settings.scope.clone(),
-        config: view.config,
-        horizon: view.horizon,
-        index,
-        wait_ms: Millis::from(settings.poll_wait),
-        probe: false,
-    }
-}
--- a/crates/watcher/src/replica_selector.rs
+++ b/crates/watcher/src/replica_selector.rs
@@ -29,6 +29,7 @@
     replicas: Arc<Replicas>,
     offset: usize,
     current: Option<SocketAddr>,
+    timeout_penalty: Duration,
     /// Replicas with a penalty, and its end.
     avoided: Vec<(SocketAddr, Instant)>,
 }
@@ -41,10 +42,19 @@
             replicas,
             offset,
             current: None,
+            timeout_penalty: TIMEOUT_PENALTY,
             avoided: Vec::new(),
         }
     }
 
+    /// Uses another penalty after timeouts.
+    pub(crate) fn with_timeout_penalty(self, timeout_penalty: Duration) -> Self {
+        Self {
+            timeout_penalty,
+            ..self
+        }
+    }
+
     /// Replica for the next request; `None` if no replica is known.
     pub fn select(&mut self, now: Instant) -> Option<SocketAddr> {
         if self.current.is_none() {
@@ -53,6 +63,11 @@
         self.current
     }
 
+    /// Whether the next replica is known: the last one succeeded, or its failure named the leader.
+    pub(crate) fn is_selected(&self) -> bool {
+        self.current.is_some()
+    }
+
     /// Replicas that did not fail recently, or all if there are none.
     pub(crate) fn available(&self, now: Instant) -> Vec<SocketAddr> {
         let mut all = self.in_order();
@@ -86,7 +101,7 @@
     pub fn record_failure(&mut self, error: &RpcError, now: Instant) {
         if let Some(peer) = self.current.take() {
             let penalty = match error {
-                RpcError::Timeout { .. } | RpcError::Stalled { .. } => TIMEOUT_PENALTY,
+                RpcError::Timeout { .. } | RpcError::Stalled { .. } => self.timeout_penalty,
                 _ => FAILURE_PENALTY,
             };
             self.avoided.retain(|(p, until)| *p != peer && *until > now);
--- a/crates/wire/src/hints.rs
+++ b/crates/wire/src/hints.rs
@@ -21,9 +21,9 @@
 const FLAG_OWNER_FIRST: u8 = 8;
 const FLAG_OWNER_UNCERTAIN: u8 = 16;
 const FLAG_SWEEP: u8 = 32;
-const FLAG_OTHER_SERVICES: u8 = 64;
+const FLAG_RETURN_UNHELD: u8 = 64;
 
-/// `owner_uncertain` of a packet with [`FLAG_OTHER_SERVICES`]. Such a packet always has
+/// `owner_uncertain` of a packet with [`FLAG_RETURN_UNHELD`]. Such a packet always has
 /// [`FLAG_OWNER_UNCERTAIN`], so that agents of earlier versions, which don't know the flag, drop
 /// the packet instead of resetting its flow.
 const FLAG_VISIT_UNCERTAIN: u8 = 128;
@@ -90,8 +90,10 @@
     pub owner_first: bool,
     /// A visited agent may own the flow without knowing it.
     pub owner_uncertain: bool,
-    /// Other services of the route may own the flow.
-    pub other_services: bool,
+    /// If no backend server of the service has the flow, the packet goes back to the balancer, which
+    /// knows the other services of the route and whether its view is current. Balancers set this for
+    /// every packet of an open flow, those of earlier versions only if the route has other services.
+    pub return_unheld: bool,
     /// Priority of the route under overload; 0 is the highest.
     pub priority: u8,
     /// Target latency of the response in milliseconds; 0 if there is none.
@@ -107,9 +109,9 @@
     pub(crate) fn flag_bits(&self) -> u8 {
         (u8::from(*self != Self::default()) * FLAG_HINTS)
             | (u8::from(self.owner_first) * FLAG_OWNER_FIRST)
-            | (u8::from(self.owner_uncertain || self.other_services) * FLAG_OWNER_UNCERTAIN)
-            | (u8::from(self.other_services) * FLAG_OTHER_SERVICES)
-            | (u8::from(self.owner_uncertain && self.other_services) * FLAG_VISIT_UNCERTAIN)
+            | (u8::from(self.owner_uncertain || self.return_unheld) * FLAG_OWNER_UNCERTAIN)
+            | (u8::from(self.return_unheld) * FLAG_RETURN_UNHELD)
+            | (u8::from(self.owner_uncertain && self.return_unheld) * FLAG_VISIT_UNCERTAIN)
             | (u8::from(self.sweep.is_some()) * FLAG_SWEEP)
     }
 
@@ -149,8 +151,8 @@
                 visited_sum: u64::from_be_bytes(read_array(raw, end + 7)?),
             })
         };
-        let other_services = flags & FLAG_OTHER_SERVICES != 0;
-        let uncertain_flag = if other_services {
+        let return_unheld = flags & FLAG_RETURN_UNHELD != 0;
+        let uncertain_flag = if return_unheld {
             FLAG_VISIT_UNCERTAIN
         } else {
             FLAG_OWNER_UNCERTAIN
@@ -159,7 +161,7 @@
             origin: Some(origin).filter(|origin| origin.port() != 0),
             owner_first: flags & FLAG_OWNER_FIRST != 0,
             owner_uncertain: flags & uncertain_flag != 0,
-            other_services,
+            return_unheld,
             priority: raw[PRIORITY_OFFSET],
             latency_target_ms: u16::from_be_bytes(read_array(raw, offset + 7 + LOAD_BYTES)?),
             least_loaded: (hop != NO_HOP).then_some((hop, load)),
