Reset no TCP or HTTP flow under a table that may be older than it

An agent resets an unknown flow once the balancer's candidates, at most six, don't own it, its own table has been unchanged for 10 s, and 200 ms have passed. It ignored that the balancer may have another table, and took a table that it has had for long for a current one.

Fix: if the epochs of balancer and agent differ, the packet visits the members that the agent knows and is then dropped, as after a table change. If they are equal, the flow is reset only after a linearizable read of the view that began after its first packet; the read that shows a newer table leads to the visits above. Unknown flows are remembered for 5 s, as a later flow may use the same addresses.

--- a/bin/agent/src/packets.rs
+++ b/bin/agent/src/packets.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, interval};
 use units::Flow;
-use watcher::View;
+use watcher::{View, ViewReader};
 use wire::{Candidate, Header, Load, MAX_DATAGRAM_BYTES, Message, Notice, Segment};
 
 use crate::error::AgentError;
@@ -63,6 +63,7 @@
     shared: Arc<SharedState>,
     fabric: FabricSender,
     flows: Flows,
+    reader: ViewReader,
     tasks: HashMap<Flow, FlowTask>,
     ended_sender: mpsc::UnboundedSender<EndedFlow>,
     ended_flows: mpsc::UnboundedReceiver<EndedFlow>,
@@ -94,6 +95,7 @@
         socket: UdpSocket,
         key: Key,
         shared: Arc<SharedState>,
+        reader: ViewReader,
         seed: u64,
         log: Logger,
     ) -> Self {
@@ -110,6 +112,7 @@
             local,
             flows: Flows::new(FlowsSettings::default(), local, Instant::now()),
             shared,
+            reader,
             tasks: HashMap::new(),
             ended_sender,
             ended_flows,
@@ -131,6 +134,7 @@
         let socket = Arc::clone(&self.socket);
         let mut buffer = BytesMut::with_capacity(BUFFER_BYTES);
         let mut tick = interval(TICK_INTERVAL);
+        let mut read_at = self.reader.read_at();
         loop {
             tokio::select! {
                 ready = socket.ready(Interest::READABLE) => match ready {
@@ -143,6 +147,15 @@
                     let view = Arc::clone(&views.borrow_and_update());
                     self.apply_view(&view);
                 }
+                Ok(()) = read_at.changed() => {
+                    // In this order: a view that is taken after the time of a read includes the read.
+                    let read_at = *read_at.borrow_and_update();
+                    let view = Arc::clone(&views.borrow_and_update());
+                    self.apply_view(&view);
+                    if let Some(at) = read_at {
+                        self.handle_event(Event::ViewRead(at));
+                    }
+                }
                 _ = tick.tick() => {
                     self.handle_event(Event::Accepting(self.shared.is_accepting()));
                     self.handle_event(Event::Tick);
@@ -207,6 +220,7 @@
                 Action::Forward(next) => self.forward_packet(&next, &packet[inner_offset..]),
                 Action::Reset => self.send_reset(segment),
                 Action::Drop(reason) => self.shared.stats.count_dropped(&reason),
+                Action::ReadView => self.reader.request(now),
                 other => self.handle_notify(other),
             }
         }
--- a/bin/agent/src/run.rs
+++ b/bin/agent/src/run.rs
@@ -90,6 +90,7 @@
         socket,
         key,
         Arc::clone(&shared),
+        watcher.reader(),
         rand::random(),
         log.clone(),
     );
--- a/bin/agent/tests/harness/control.rs
+++ b/bin/agent/tests/harness/control.rs
@@ -104,6 +104,21 @@
     request.reply(&key, &unchanged)
 }
 
+/// Every read is current here.
+#[endpoint { method = POST, path = "/v1/read", request_body_max_bytes = 65536 }]
+async fn read(context: Context, body: UntypedBody) -> SignedReply {
+    let key = context.context().lock().expect("a lock").key.clone();
+    let request = Request::<Watch>::verify(&key, api::path::READ, &body)?;
+    let message = &request.message;
+    let unchanged = WatchReply {
+        config: message.config,
+        index: message.index,
+        ..WatchReply::default()
+    };
+    let newer = find_newer(context.context(), message.config, message.index);
+    request.reply(&key, &newer.unwrap_or(unchanged))
+}
+
 fn find_newer(state: &Mutex<State>, config: Version, known_index: u64) -> Option<WatchReply> {
     let state = state.lock().expect("a lock");
     let mut reply = WatchReply {
@@ -153,6 +168,7 @@
         let mut description = ApiDescription::new();
         description.register(heartbeat).expect("an endpoint");
         description.register(watch).expect("an endpoint");
+        description.register(read).expect("an endpoint");
         description.register(burn).expect("an endpoint");
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let server = ServerBuilder::new(description, Arc::clone(&state), log)
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -28,6 +28,8 @@
         /// Time of receipt.
         received_at: Instant,
     },
+    /// A linearizable read of the view began at this time; its table, if it is newer, was received.
+    ViewRead(Instant),
     /// Whether this agent may take new flows.
     Accepting(bool),
     /// A packet with a valid tag and a valid inner packet arrived.
@@ -76,6 +78,8 @@
     Reset,
     /// Drop the packet.
     Drop(DropReason),
+    /// Read the view from control: a flow is reset only if the table is not older than the flow.
+    ReadView,
     /// Notify an agent that these flows are owned here.
     Notify {
         /// Receiver.
@@ -97,10 +101,10 @@
     OtherIncarnation,
     /// The destination is not the address of the service.
     OtherAddress,
-    /// The flow is unknown shortly after a start or a table change, or half-open with another
-    /// sequence number.
+    /// The flow is unknown shortly after a start or a table change, or while the balancer has another
+    /// table, or half-open with another sequence number.
     Unsettled,
-    /// The flow is unknown, but a notice about it may still arrive.
+    /// The flow is unknown, but a notice about it or a newer table may still arrive.
     Stray,
     /// RST for an unknown flow.
     StrayReset,
--- a/crates/flows/src/flows.rs
+++ b/crates/flows/src/flows.rs
@@ -47,6 +47,8 @@
     pub(crate) loads: Loads,
     pub(crate) retries: Retries,
     pub(crate) strays: Strays,
+    /// Start of the last linearizable read of the view, which the table includes.
+    pub(crate) read_at: Option<Instant>,
 }
 
 impl Flows {
@@ -64,14 +66,15 @@
             redirects: OwnerCache::new(settings.max_redirects, settings.redirect_ttl),
             loads: Loads::new(settings.load_ttl),
             retries: Retries::new(),
-            strays: Strays::new(settings.max_strays, settings.stray_time),
+            strays: Strays::new(settings.max_strays, settings.stray_time, settings.stray_ttl),
+            read_at: None,
             settings,
         }
     }
 
     /// Handles an event and appends the resulting actions to `out`.
     ///
-    /// A packet yields exactly one action other than [`Action::Notify`].
+    /// A packet yields exactly one action other than [`Action::Notify`] and [`Action::ReadView`].
     pub fn handle(&mut self, now: Instant, event: Event<'_>, out: &mut Vec<Action>) {
         match event {
             Event::Packet { header, segment } => self.packet(now, header, segment, out),
@@ -86,6 +89,7 @@
             Event::Service { id, address, limit } => {
                 self.service = Some(Service { id, address, limit });
             }
+            Event::ViewRead(at) => self.read_at = self.read_at.max(Some(at)),
             Event::Accepting(accepting) => self.accepting = accepting,
             Event::Table { table, received_at } => self.table(now, table, received_at, out),
             Event::Notice(notice) => self.notice(now, notice),
--- a/crates/flows/src/rules.rs
+++ b/crates/flows/src/rules.rs
@@ -2,6 +2,7 @@
 
 use steering::Ranker;
 use tokio::time::Instant;
+use units::Flow;
 use wire::{Flags, Header, Segment};
 
 use crate::flows::Service;
@@ -75,20 +76,21 @@
             Action::Forward(header.next_hop(header.flags))
         } else if segment.rst {
             Action::Drop(DropReason::StrayReset)
-        } else if now < self.settled_at || self.owned.contains_key(&flow) {
-            // The notice about the flow may be lost, and a flow that is half-open here may be
-            // established at another agent: the packet visits members that are not in the list
-            // before it is dropped.
+        } else if now < self.settled_at
+            || self.owned.contains_key(&flow)
+            || !self.has_table_of(header)
+        {
+            // The notice about the flow may be lost, a flow that is half-open here may be
+            // established at another agent, and the balancer may not know the flow's agent: the
+            // packet visits members that are not in the list before it is dropped.
             let header = self.with_missing_member(header, segment);
             if header.has_next() {
                 Action::Forward(header.next_hop(header.flags))
             } else {
                 Action::Drop(DropReason::Unsettled)
             }
-        } else if self.strays.record_packet(flow, now) {
-            Action::Reset
         } else {
-            Action::Drop(DropReason::Stray)
+            return self.handle_stray(now, flow, out);
         };
         let accepted = action == Action::Accept;
         out.push(action);
@@ -97,6 +99,26 @@
         }
     }
 
+    /// Handles a packet of a flow that no agent in the list owns. The flow was opened under a table that
+    /// was committed before, so it is reset only after a read of the view that began later.
+    fn handle_stray(&mut self, now: Instant, flow: Flow, out: &mut Vec<Action>) {
+        let first = self.strays.record_packet(flow, now);
+        let is_read = self.read_at.is_some_and(|at| at >= first);
+        if is_read && self.strays.is_due(first, now) {
+            return out.push(Action::Reset);
+        }
+        out.push(Action::Drop(DropReason::Stray));
+        if !is_read {
+            out.push(Action::ReadView);
+        }
+    }
+
+    /// Whether the balancer had the table of this agent; not known of redirected packets.
+    fn has_table_of(&self, header: &Header) -> bool {
+        let epoch = self.ranker.as_ref().map(|ranker| ranker.epoch);
+        header.is_redirected() || epoch == Some(header.epoch)
+    }
+
     fn validate(&self, header: &Header, segment: &Segment) -> Result<Service, DropReason> {
         let service = self.service.ok_or(DropReason::NoService)?;
         if header.service != service.id {
--- a/crates/flows/src/settings.rs
+++ b/crates/flows/src/settings.rs
@@ -13,6 +13,8 @@
     pub stray_time: Duration,
     /// Maximum number of unknown flows whose first packet is recorded.
     pub max_strays: usize,
+    /// Time after which an unknown flow counts as a new one: it may use the addresses of an earlier one.
+    pub stray_ttl: Duration,
     /// Minimum time between two notices about a flow to the same relay.
     pub notice_interval: Duration,
     /// Maximum number of redirects.
@@ -29,6 +31,7 @@
             settle_time: Duration::from_secs(10),
             stray_time: Duration::from_millis(200),
             max_strays: 65_536,
+            stray_ttl: Duration::from_secs(5),
             notice_interval: Duration::from_secs(1),
             max_redirects: 65_536,
             redirect_ttl: Duration::from_secs(120),
--- a/crates/flows/src/strays.rs
+++ b/crates/flows/src/strays.rs
@@ -13,27 +13,36 @@
     limit: usize,
     /// Minimum time from the first packet to a reset.
     reset_delay: Duration,
+    /// Time after which a packet counts as the first one again.
+    ttl: Duration,
 }
 
 impl Strays {
-    pub(crate) fn new(limit: usize, reset_delay: Duration) -> Self {
+    pub(crate) fn new(limit: usize, reset_delay: Duration, ttl: Duration) -> Self {
         Self {
             first_seen: LruCache::unbounded(),
             limit,
             reset_delay,
+            ttl,
         }
     }
 
-    /// Records a packet of an unknown flow; returns whether it should be reset.
-    pub(crate) fn record_packet(&mut self, flow: Flow, now: Instant) -> bool {
-        if let Some(first) = self.first_seen.get(&flow) {
-            return now >= *first + self.reset_delay;
+    /// Records a packet of an unknown flow; returns the time of the flow's first one.
+    pub(crate) fn record_packet(&mut self, flow: Flow, now: Instant) -> Instant {
+        let first = self.first_seen.get(&flow);
+        if let Some(first) = first.filter(|first| now < **first + self.ttl) {
+            return *first;
         }
         self.first_seen.put(flow, now);
         while self.first_seen.len() > self.limit {
             self.first_seen.pop_lru();
         }
-        false
+        now
+    }
+
+    /// Whether a flow whose first packet came at `first` may be reset.
+    pub(crate) fn is_due(&self, first: Instant, now: Instant) -> bool {
+        now >= first + self.reset_delay
     }
 
     pub(crate) fn remove(&mut self, flow: &Flow) {
