Move the log lines of the packet loops into files of their own

Counting and logging of outcomes is now in `report.rs` beside each; texts, keys and levels are unchanged.

--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod backend_tracker;
 mod outcome;
 mod packet_loop;
+mod report;
 mod settings;
 
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/opaque/src/balancer/mod.rs
+++ b/crates/opaque/src/balancer/mod.rs
@@ -2,6 +2,7 @@
 
 mod outcome;
 mod packet_loop;
+mod report;
 mod settings;
 mod stats;
 
--- a/crates/opaque/src/balancer/packet_loop.rs
+++ b/crates/opaque/src/balancer/packet_loop.rs
@@ -4,17 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::{Action, Directory, Dispatcher, DropReason};
+use dispatch::{Action, Directory, Dispatcher};
 use rpc::Key;
-use slog::{info, warn};
-use startup::LinePriority;
 use tokio::io::Interest;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 use units::Flow;
 use watcher::ViewReader;
-use wire::{Codec, Header, MAX_DATAGRAM_BYTES, MAX_INNER_BYTES, Message, PacketError, Segment};
+use wire::{Codec, Header, MAX_DATAGRAM_BYTES, MAX_INNER_BYTES, Message, Segment};
 
 use super::outcome::Outcome;
 use super::stats::BalancerStats;
@@ -181,12 +179,7 @@
                 header,
                 inner,
             } => {
-                self.telemetry.count(Outcome::SynUnanswered);
-                if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
-                    info!(log, "no notice from an owner; SYN sent to the next candidate";
-                        "flow" => %flow, "to" => target(&header), "hop" => header.hop,
-                        "epoch" => header.epoch.0);
-                }
+                self.syn_unanswered(flow, &header);
                 self.send(&header, &inner, out);
             }
             Action::Search {
@@ -194,26 +187,14 @@
                 header,
                 inner,
             } => {
-                self.telemetry.count(Outcome::SearchedAgain);
-                if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
-                    info!(log, "view was read; packet sent to agents of further services";
-                        "flow" => %flow, "to" => target(&header), "service" => header.service.0,
-                        "epoch" => header.epoch.0);
-                }
+                self.searched_again(flow, &header);
                 self.send(&header, &inner, out);
             }
             Action::ReadView => {
                 self.telemetry.count(Outcome::ReadRequested);
                 self.reader.request(Instant::now());
             }
-            Action::Unread(flow) => {
-                self.telemetry.count(Outcome::Unread);
-                let (config, age) = self.view();
-                if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
-                    warn!(log, "dropped"; "flow" => %flow, "reason" => "unread",
-                        "config" => config, "view_age_ms" => age);
-                }
-            }
+            Action::Unread(flow) => self.unread(flow),
             Action::Refuse(reason) => {
                 self.telemetry.count(Outcome::Refused(reason));
                 if let Some(segment) = segment {
@@ -222,17 +203,7 @@
                 }
             }
             Action::Reset { flow, seq } => {
-                self.telemetry.count(Outcome::Reset);
-                let (config, age) = self.view();
-                let read = self
-                    .directory
-                    .borrow()
-                    .read_at()
-                    .map(|at| millis(at.elapsed()));
-                if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
-                    warn!(log, "reset"; "flow" => %flow, "reason" => "not_held",
-                        "config" => config, "view_age_ms" => age, "read_age_ms" => read);
-                }
+                self.not_held(flow);
                 self.reset(flow, seq, out);
             }
             Action::Drop(reason) => {
@@ -244,58 +215,6 @@
         }
     }
 
-    fn sent(&mut self, segment: &Segment, header: &Header) {
-        let (outcome, message) = match (segment.opens(), header.hints.owner_first) {
-            (true, _) => (Outcome::Syn, "SYN sent"),
-            (false, true) => (Outcome::Owned, ""),
-            (false, false) => (
-                Outcome::Searched,
-                "owner unknown; packet sent to agents that may know it",
-            ),
-        };
-        self.telemetry.count(outcome);
-        if outcome == Outcome::Owned {
-            return;
-        }
-        let (config, age) = self.view();
-        if let Some(log) = self.telemetry.flow_log(LinePriority::Low, Instant::now()) {
-            info!(log, "{message}"; "flow" => %segment.flow, "to" => target(header),
-                "candidates" => header.candidates.len(), "service" => header.service.0,
-                "epoch" => header.epoch.0, "config" => config, "view_age_ms" => age);
-        }
-    }
-
-    fn not_sent(&mut self, outcome: &str, flow: Flow, reason: DropReason) {
-        let (config, age) = self.view();
-        let (transfers, limit) = self.dispatcher.transfers();
-        if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
-            warn!(log, "{outcome}"; "flow" => %flow, "reason" => %reason,
-                "config" => config, "view_age_ms" => age,
-                "transfers" => transfers, "transfers_most" => limit);
-        }
-    }
-
-    /// Configuration version in force, and the time in ms since control confirmed it.
-    fn view(&self) -> (u64, Option<u64>) {
-        let confirmed = *self.view_confirmed.borrow();
-        let age = confirmed.map(|at| millis(at.elapsed()));
-        (self.directory.borrow().config_version().0, age)
-    }
-
-    fn invalid_packet(&mut self, now: Instant, reason: PacketError) {
-        self.telemetry.count(Outcome::Invalid(reason));
-        if let Some(log) = self.telemetry.flow_log(LinePriority::High, now) {
-            warn!(log, "invalid packet"; "reason" => %reason);
-        }
-    }
-
-    fn invalid_datagram(&mut self, from: SocketAddr, error: &dyn std::fmt::Display) {
-        self.telemetry.count(Outcome::InvalidDatagram);
-        if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
-            warn!(log, "invalid datagram"; "from" => %from, "error" => %error);
-        }
-    }
-
     fn send(&mut self, header: &Header, inner: &[u8], out: &mut Vec<u8>) {
         let Some(target) = header.target() else {
             return;
@@ -316,34 +235,4 @@
             self.unsent(to, &error);
         }
     }
-
-    fn unsent(&mut self, to: SocketAddr, error: &dyn std::error::Error) {
-        self.telemetry.count(Outcome::Unsent);
-        if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
-            warn!(log, "datagram not sent"; "to" => %to, "error" => %error);
-        }
-    }
-
-    fn send_metrics(&mut self) {
-        self.telemetry.count(Outcome::Iteration);
-        let (dispatcher, config) = (&self.dispatcher, self.directory.borrow().config_version().0);
-        self.telemetry.send_metrics(Instant::now(), || {
-            let (transfers, limit) = dispatcher.transfers();
-            [
-                ("owners", dispatcher.owner_count() as u64),
-                ("config", config),
-                ("waiting", dispatcher.waiting() as u64),
-                ("transfers", transfers as u64),
-                ("transfers_most", limit.unwrap_or(0) as u64),
-            ]
-        });
-    }
-}
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn target(header: &Header) -> Option<String> {
-    header.target().map(|target| target.address.to_string())
 }
