Keep what searches found about each packet of a flow

What callers could see: the caller of a lost flow of a route with several services waits until its deadline instead of getting a reset if it has many packets in flight. With resets after a read of the view also: of the packets in flight of an open flow only the last goes on after the read, and a lost flow may need a second read.

Cause: a balancer kept the searches of one packet per flow, as the numbers of a packet tell a flow from a later one with the same addresses. If one service returns all packets before another one does, each return replaced what was known, and no packet was ever returned by all services.

Evidence: dispatch several::searches_of_packets_in_flight_count_each and reads::all_packets_in_flight_go_on_after_the_read failed before this change.

A flow is reset once.

Why it works: the returns of each packet are counted by themselves, in whatever order they arrive.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -199,7 +199,7 @@
             self.absences.remove(&flow);
             let seq = segment.ack_number;
             out.push(Action::Reset { flow, seq });
-        } else if self.absences.wait(now, &flow, inner) {
+        } else if self.absences.wait(now, segment, inner) {
             out.push(Action::ReadView);
         }
     }
@@ -218,9 +218,11 @@
             };
             let left = directory.unsearched(route, &flow, &waiting.searched);
             if left.is_empty() {
-                self.absences.remove(&flow);
-                let seq = waiting.ack_number;
-                out.push(Action::Reset { flow, seq });
+                // Other packets of the flow may have waited, too.
+                if self.absences.remove(&flow) {
+                    let seq = waiting.ack_number;
+                    out.push(Action::Reset { flow, seq });
+                }
                 continue;
             }
             let search = |header| Action::Search {
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -20,7 +20,7 @@
     pub max_owners: usize,
     /// Time after which an unused owner is removed from the cache.
     pub owner_ttl: Duration,
-    /// Maximum number of flows that were searched for in a part of their route's services.
+    /// Maximum number of packets whose flow was searched for in services that don't have it.
     pub max_absences: usize,
     /// Time within which all services of a route are searched for a packet's flow.
     pub absence_ttl: Duration,
--- a/crates/dispatch/tests/all/reads.rs
+++ b/crates/dispatch/tests/all/reads.rs
@@ -174,6 +174,23 @@
     assert_eq!(harness.read_unchanged(), []);
 }
 
+/// Guards against packets of an open flow that are lost because another one of the same flow waits, and
+/// against memory without bounds: of many packets in flight each goes on after the read.
+#[test]
+fn all_packets_in_flight_go_on_after_the_read() {
+    let mut harness = Harness::new(to_service());
+    let header = harness.sent_header(&segment());
+    for number in 0..20 {
+        harness.now += Duration::from_millis(1);
+        let packet = Segment {
+            seq: segment().seq + 1_200 * number,
+            ..segment()
+        };
+        assert_eq!(harness.not_held(&header, &packet), [Action::ReadView]);
+    }
+    assert_eq!(searched_again(harness.read(moved())).len(), 16);
+}
+
 /// Guards against a reset of a flow whose owner sent a notice while the read was under way.
 #[test]
 fn found_flow_is_not_reset_after_a_read() {
--- a/crates/dispatch/tests/all/several.rs
+++ b/crates/dispatch/tests/all/several.rs
@@ -71,6 +71,26 @@
     assert_eq!(harness.read_unchanged(), reset());
 }
 
+/// Guards against a caller of a lost flow that waits for ever because it has many packets in flight, whose
+/// searches end in any order: it never gets a packet through of which all services have answered last.
+#[test]
+fn searches_of_packets_in_flight_count_each() {
+    let mut harness = Harness::new(vec![split_route()]);
+    let packets = (0..16).map(|number| Segment {
+        seq: segment().seq + 1_200 * number,
+        ..segment()
+    });
+    let packets: Vec<_> = packets.collect();
+    let [first, second] = searches(&mut harness);
+    for packet in &packets {
+        assert_eq!(harness.not_held(&first, packet), []);
+    }
+    for packet in &packets {
+        assert_eq!(harness.not_held(&second, packet), [Action::ReadView]);
+    }
+    assert_eq!(harness.read_unchanged(), reset(), "one reset");
+}
+
 /// Guards against a reset of a flow that was found while another service was searched.
 #[test]
 fn found_flow_is_not_reset() {
