--- a/tests/e2e/src/cluster.rs
+++ b/tests/e2e/src/cluster.rs
@@ -489,3 +489,13 @@
         "health": {"path": "/health", "interval_ms": 200}
     })
 }
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            // Its logs tell the cause.
+            self.folder.disable_cleanup(true);
+            eprintln!("settings and logs: {}", self.folder.path().display());
+        }
+    }
+}
