--- a/crates/forwarding/tests/all/simulation/network.rs
+++ b/crates/forwarding/tests/all/simulation/network.rs
@@ -1,24 +1,26 @@
 //! Simulated network, clock and faults.
 
+mod balancers;
+mod outcomes;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
-use api::{Member, RouteView, ServiceView, TableUpdate, TargetView, WatchReply};
-use dispatch::{Directory, DispatchSettings, Dispatcher};
+use api::Member;
+use dispatch::{Directory, Dispatcher};
 use forwarding::{Action, Backend, Event, ForwardSettings, Forwarder};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
-use units::{Flow, Incarnation, Millis, Version};
-use watcher::View;
+use units::{Flow, Incarnation};
 use wire::{Candidate, Header, Notice, Segment};
 
 use super::backend_server::{BackendServer, Output};
-use super::caller::{Caller, Stage};
-use crate::common::{SERVICE, centre, flow, members, table};
+use super::caller::Caller;
+use crate::common::{SERVICE, flow, members, table};
 
 /// Inner packet; its content doesn't matter.
 const INNER: &[u8] = b"inner";
@@ -200,16 +202,6 @@
         }
     }
 
-    fn balancer(&self, number: usize) -> Dispatcher {
-        let settings = DispatchSettings::default();
-        Dispatcher::new(
-            settings,
-            notice_address(number),
-            centre("a"),
-            self.instant(),
-        )
-    }
-
     fn agent(&self, number: usize) -> Forwarder {
         let member = &self.members[number];
         let me = Candidate {
@@ -229,37 +221,6 @@
         Forwarder::new(settings, me, self.instant())
     }
 
-    fn update_directory(&mut self) {
-        let profile = r#"{"name":"p","protocol":"opaque"}"#;
-        let service = r#"{"name":"s","tenant":"t","profile":"p"}"#;
-        let table = table(self.epoch, self.members.clone());
-        let reply = WatchReply {
-            config: Version(1),
-            services: vec![ServiceView {
-                id: SERVICE,
-                service: serde_json::from_str(service).unwrap(),
-                profile: serde_json::from_str(profile).unwrap(),
-                version: Version(1),
-            }],
-            tables: vec![TableUpdate::Snapshot((*table).clone())],
-            routes: vec![RouteView {
-                address: flow(1).service,
-                targets: vec![TargetView {
-                    service: SERVICE,
-                    weight: 1,
-                }],
-                former: vec![],
-                latency_ms: Millis(100),
-                priority: 1,
-            }],
-            complete: true,
-            index: 1,
-            ..WatchReply::default()
-        };
-        let view = View::default().updated(&reply, Instant::now()).unwrap();
-        self.directory = Directory::default().updated(&view);
-    }
-
     /// Sends an agent its service, its backend server's state and its table.
     fn configure_agent(&mut self, number: usize) {
         let id = SERVICE;
@@ -326,19 +287,9 @@
                 self.handle(number, event, Some(&segment));
             }
             Scheduled::NotHeld(number, header, segment) => {
-                let (now, directory) = (self.instant(), self.directory_of(number));
-                let mut out = Vec::new();
-                let balancer = &mut self.balancers[number];
-                balancer.handle_not_held(now, &directory, &header, &segment, INNER, &mut out);
-                self.execute(number, out, Some(&segment));
-            }
-            Scheduled::ReadView(number, began) => {
-                self.read_at[number] = Some(began);
-                let (now, directory) = (self.instant(), self.directory_of(number));
-                let mut out = Vec::new();
-                self.balancers[number].handle_read(now, &directory, &mut out);
-                self.execute(number, out, None);
+                self.return_packet(number, &header, &segment);
             }
+            Scheduled::ReadView(number, began) => self.finish_read(number, began),
             Scheduled::TickAgent(number) => {
                 self.handle(number, Event::Tick, None);
                 self.schedule(self.now + 5, Scheduled::TickAgent(number));
@@ -395,11 +346,6 @@
         self.schedule(self.now + RETRANSMIT_MS, Scheduled::Transmit(flow, answers));
     }
 
-    /// A balancer's view, with the last read that it made.
-    fn directory_of(&self, number: usize) -> Directory {
-        self.directory.clone().with_read_at(self.read_at[number])
-    }
-
     fn reset(&mut self, number: usize, flow: Flow, seq: u32) {
         let caller = &self.callers[&flow];
         // A caller of an open flow ignores resets with an unexpected sequence number.
@@ -432,45 +378,6 @@
         }
     }
 
-    fn dispatch(&mut self, number: usize, segment: Option<&Segment>) {
-        let now = self.instant();
-        let mut out = Vec::new();
-        let directory = self.directory_of(number);
-        let balancer = &mut self.balancers[number];
-        match segment {
-            Some(segment) => {
-                balancer.handle_packet(now, &directory, true, segment, INNER, &mut out);
-            }
-            None => balancer.tick(now, &mut out),
-        }
-        self.execute(number, out, segment);
-    }
-
-    /// Executes the actions of a balancer.
-    fn execute(&mut self, number: usize, out: Vec<dispatch::Action>, segment: Option<&Segment>) {
-        for action in out {
-            match action {
-                dispatch::Action::Send(header) => self.forward(header, *segment.unwrap()),
-                dispatch::Action::Resend { flow, header, .. } => {
-                    self.forward(header, crate::common::syn(flow));
-                }
-                dispatch::Action::Search { flow, header, .. } => {
-                    if let Some(segment) = self.callers[&flow].segment() {
-                        self.forward(header, segment);
-                    }
-                }
-                dispatch::Action::ReadView => {
-                    let read = Scheduled::ReadView(number, self.instant());
-                    self.schedule(self.now + READ_MS, read);
-                }
-                dispatch::Action::Reset { flow, seq } => {
-                    self.send(Scheduled::Reset(number, flow, seq));
-                }
-                other => panic!("{other:?} at balancer {number}"),
-            }
-        }
-    }
-
     fn number_of(&self, address: SocketAddrV4) -> Option<usize> {
         self.members.iter().position(|m| m.packets == address)
     }
@@ -566,42 +473,6 @@
             }
         }
     }
-
-    /// Asserts that every flow was served, or reset because its backend server lost it; under
-    /// overload a flow may also have been refused before a backend server received its request.
-    pub fn assert_outcomes(&self, seed: u64) {
-        let agents_started = self.faults.iter().filter(|f| f.contains("Agent")).count() as u32;
-        for caller in self.callers.values() {
-            let was_lost = |initial_seq| self.lost.contains(&(caller.flow, initial_seq));
-            let refused = caller.stage == Stage::Reset && caller.initial_seq.is_none();
-            let mut backends = self.backends.iter();
-            let reached_backend =
-                backends.any(|backend| backend.has_received_request(&caller.flow));
-            let expected = caller.stage == Stage::Served
-                || self.overloaded && refused && !reached_backend
-                || caller.stage == Stage::Reset && caller.initial_seq.is_some_and(was_lost);
-            assert!(expected, "seed {seed}: {caller:?} after {:?}", self.faults);
-        }
-        for (number, backend) in self.backends.iter().enumerate() {
-            for (flow, packets) in &backend.unknown_packets {
-                // Each process of an agent may offer a flow once, and redirects may be outdated.
-                assert!(
-                    *packets <= agents_started + 3,
-                    "seed {seed}: backend server {number} got {packets} packets of {flow}, which \
-                     it doesn't have, after {:?}",
-                    self.faults
-                );
-            }
-        }
-        for (number, agent) in self.agents.iter().enumerate() {
-            let load = agent.load();
-            assert_eq!(
-                load.busy, 0,
-                "seed {seed}: agent {number}, {:?}",
-                self.faults
-            );
-        }
-    }
 }
 
 /// Address at which a balancer receives notices.
