Agents log which copy of a SYN they refuse, and where it had been

The log couldn't tell whether a refused SYN was the caller's first one or a copy, which agents it had visited, and how long it had waited. A refusal is now an action of its own, Unplaced, with the SYN that it is about; its line has `copy`, `visited`, `waited_ms` and `origin`, and the balancer's `SYN sent` has `copy`. The count is `unplaced.overloaded` and `unplaced.no_candidate`, before `reset.…`. Nothing is decided otherwise: three tests and the simulation expect the new action in place of a reset that it still leads to.

--- a/crates/forwarding/src/admission.rs
+++ b/crates/forwarding/src/admission.rs
@@ -11,17 +11,34 @@
 use units::Flow;
 use wire::Header;
 
+use crate::UnplacedSyn;
+
 /// SYN in the admission queue, with what is needed to deliver or forward it later.
 #[derive(Debug, Clone)]
 pub(crate) struct QueuedSyn {
     pub(crate) flow: Flow,
     pub(crate) header: Header,
     pub(crate) inner: Box<[u8]>,
+    /// Number of copies that the caller sent before it.
+    pub(crate) copy_number: u32,
     pub(crate) queued_at: Instant,
     /// When its caller gets a reset.
     pub(crate) deadline: Instant,
 }
 
+impl QueuedSyn {
+    /// The SYN without its place in the queue.
+    pub(crate) fn give_up(self, now: Instant) -> UnplacedSyn {
+        UnplacedSyn {
+            flow: self.flow,
+            header: self.header,
+            inner: self.inner,
+            copy_number: self.copy_number,
+            waited: now.saturating_duration_since(self.queued_at),
+        }
+    }
+}
+
 /// Priority (lowest value first), then arrival number (newest first).
 type QueuePosition = (u8, Reverse<u64>);
 
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -64,6 +64,21 @@
     Tick,
 }
 
+/// A SYN that no agent accepts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnplacedSyn {
+    /// Flow that it would have opened.
+    pub flow: Flow,
+    /// Header with which it arrived; the candidates up to its hop were visited.
+    pub header: Header,
+    /// Inner packet.
+    pub inner: Box<[u8]>,
+    /// Number of copies that the caller sent before it.
+    pub copy_number: u32,
+    /// Time spent in the admission queue.
+    pub waited: Duration,
+}
+
 /// Output of [`crate::Forwarder::handle`].
 ///
 /// `Deliver`, `Queue`, `Forward`, `Reply`, `Reset`, `NotHeld` and `Drop` concern the packet of the
@@ -95,6 +110,13 @@
         /// this agent's table.
         header: Header,
     },
+    /// Answer a SYN with a reset: it was not delivered, and won't be.
+    Unplaced {
+        /// The SYN, which may be another one than that of the event.
+        syn: UnplacedSyn,
+        /// Why no agent accepts it.
+        reason: Reason,
+    },
     /// Drop the packet.
     Drop(DropReason),
     /// Send a stored packet to another agent.
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -37,6 +37,6 @@
 mod siblings;
 mod timers;
 
-pub use event::{Action, Backend, DropReason, Event, Reason, Timing};
+pub use event::{Action, Backend, DropReason, Event, Reason, Timing, UnplacedSyn};
 pub use forwarder::Forwarder;
 pub use settings::ForwardSettings;
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -1,10 +1,13 @@
 //! Packets that the backend server sends to callers or returns.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 use wire::Segment;
 
 use crate::occupancy::RequestState;
-use crate::{Action, DropReason, Forwarder, Reason, Timing};
+use crate::pending::PendingSyn;
+use crate::{Action, DropReason, Forwarder, Reason, Timing, UnplacedSyn};
 
 impl Forwarder {
     /// Handles a packet from the backend server to a caller.
@@ -91,14 +94,11 @@
             return out.push(Action::Drop(DropReason::Stray));
         };
         if segment.opens() {
-            let next = state.pending_syn.take().map(|pending| {
-                let next = self.reroute_pending(&flow, &pending);
-                next.map(|header| Action::Forward(header, Reason::Returned))
+            out.push(match state.pending_syn.take() {
+                Some(pending) => self.place_returned(now, segment, *pending),
+                // A copy of a SYN that was already forwarded.
+                None => Action::Drop(DropReason::Stray),
             });
-            // Without a pending SYN, this is a copy of one that was already forwarded.
-            out.push(next.map_or(Action::Drop(DropReason::Stray), |next| {
-                next.unwrap_or_else(|| self.refuse_syn(now, flow))
-            }));
         } else if state.established && !segment.rst {
             self.offers.record_returned(flow, now);
             out.push(Action::Reset {
@@ -110,4 +110,20 @@
             out.push(Action::Drop(DropReason::Stray));
         }
     }
+
+    /// Forwards a SYN that the backend server returned to the next candidate, if there is one.
+    fn place_returned(&self, now: Instant, segment: &Segment, pending: PendingSyn) -> Action {
+        let flow = segment.flow;
+        if let Some(header) = self.reroute_pending(&flow, &pending) {
+            return Action::Forward(header, Reason::Returned);
+        }
+        let syn = UnplacedSyn {
+            flow,
+            header: pending.header,
+            inner: pending.inner,
+            copy_number: segment.copy_number(),
+            waited: Duration::ZERO,
+        };
+        self.refuse_syn(now, syn)
+    }
 }
--- a/crates/forwarding/src/placement.rs
+++ b/crates/forwarding/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::admission::QueuedSyn;
 use crate::occupancy::RequestState;
 use crate::pending::PendingSyn;
-use crate::{Action, DropReason, Forwarder, Reason};
+use crate::{Action, DropReason, Forwarder, Reason, UnplacedSyn};
 
 /// The SYN has visited every candidate; the target accepts it unless it accepts no flows at all.
 const ACCEPT_FLAGS: Flags = Flags {
@@ -17,11 +17,10 @@
     accept: true,
 };
 
-/// Resets a flow whose SYN timed out in the admission queue or was evicted from it.
-pub(crate) fn overload_reset(flow: Flow) -> Action {
-    Action::Reset {
-        flow,
-        seq: 0,
+/// Gives up a SYN that timed out in the admission queue or was evicted from it.
+pub(crate) fn give_up_queued(now: Instant, syn: QueuedSyn) -> Action {
+    Action::Unplaced {
+        syn: syn.give_up(now),
         reason: Reason::Overloaded,
     }
 }
@@ -58,20 +57,28 @@
                 self.accept_syn(now, header, &flow, inner);
                 out.push(Action::Deliver(reason));
             }
-            Placement::Queue => self.queue_syn(now, header, flow, inner, out),
+            Placement::Queue => self.queue_syn(now, header, segment, inner, out),
             Placement::Forward(header, reason) => out.push(Action::Forward(header, reason)),
-            Placement::Refuse => out.push(self.refuse_syn(now, flow)),
+            Placement::Refuse => {
+                let syn = UnplacedSyn {
+                    flow,
+                    header: *header,
+                    inner: inner.into(),
+                    copy_number: segment.copy_number(),
+                    waited: Duration::ZERO,
+                };
+                out.push(self.refuse_syn(now, syn));
+            }
         }
     }
 
-    /// Refuses a SYN that no candidate accepts.
-    pub(crate) fn refuse_syn(&self, now: Instant, flow: Flow) -> Action {
+    /// Gives up a SYN that no candidate accepts.
+    pub(crate) fn refuse_syn(&self, now: Instant, syn: UnplacedSyn) -> Action {
         if now < self.started_at + self.settings.startup_grace {
             return Action::Drop(DropReason::Unsettled);
         }
-        Action::Reset {
-            flow,
-            seq: 0,
+        Action::Unplaced {
+            syn,
             reason: Reason::NoCandidate,
         }
     }
@@ -160,15 +167,17 @@
         &mut self,
         now: Instant,
         header: &Header,
-        flow: Flow,
+        segment: &Segment,
         inner: &[u8],
         out: &mut Vec<Action>,
     ) {
+        let flow = segment.flow;
         out.push(Action::Queue);
         self.admission_queue.push(QueuedSyn {
             flow,
             header: *header,
             inner: inner.into(),
+            copy_number: segment.copy_number(),
             queued_at: now,
             deadline: now + self.queue_timeout(header),
         });
@@ -179,7 +188,7 @@
         if self.admission_queue.len() > self.settings.max_queued
             && let Some(first) = self.admission_queue.pop_expiring()
         {
-            out.push(overload_reset(first.flow));
+            out.push(give_up_queued(now, first));
         }
     }
 
@@ -218,19 +227,13 @@
     /// Forwards all queued SYNs to other agents, as the backend server accepts no new flows.
     pub(crate) fn reroute_queued(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some(syn) = self.admission_queue.pop_expiring() {
-            let QueuedSyn {
-                flow,
-                header,
-                inner,
-                ..
-            } = syn;
-            out.push(match self.unvisited_header(&flow, &header) {
+            out.push(match self.unvisited_header(&syn.flow, &syn.header) {
                 Some(header) => Action::Resend {
                     header,
-                    inner,
-                    flow,
+                    inner: syn.inner,
+                    flow: syn.flow,
                 },
-                None => self.refuse_syn(now, flow),
+                None => self.refuse_syn(now, syn.give_up(now)),
             });
         }
     }
--- a/crates/forwarding/src/timers.rs
+++ b/crates/forwarding/src/timers.rs
@@ -6,7 +6,7 @@
 use units::Flow;
 
 use crate::occupancy::RequestState;
-use crate::placement::overload_reset;
+use crate::placement::give_up_queued;
 use crate::{Action, Forwarder};
 
 /// Interval at which idle and ended flows are removed.
@@ -16,7 +16,7 @@
     pub(crate) fn handle_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.reroute_unanswered_syns(now, out);
         self.release_reservations(now);
-        self.reset_expired_syns(now, out);
+        self.give_up_expired_syns(now, out);
         self.retry_registrations(now, out);
         if now >= self.next_notice {
             self.next_notice = now + self.settings.load_interval;
@@ -65,13 +65,13 @@
         }
     }
 
-    /// Resets flows whose SYN timed out in the admission queue; it was never delivered.
-    fn reset_expired_syns(&mut self, now: Instant, out: &mut Vec<Action>) {
+    /// Gives up SYNs that timed out in the admission queue.
+    fn give_up_expired_syns(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some(due) = self.admission_queue.deadline()
             && now >= due
             && let Some(syn) = self.admission_queue.pop_expiring()
         {
-            out.push(overload_reset(syn.flow));
+            out.push(give_up_queued(now, syn));
         }
     }
 
--- a/crates/forwarding/tests/all/admission.rs
+++ b/crates/forwarding/tests/all/admission.rs
@@ -42,11 +42,10 @@
 
 fn refused(actions: &[Action]) -> Vec<Flow> {
     let refused = |action: &Action| match action {
-        Action::Reset {
-            flow,
-            seq: 0,
+        Action::Unplaced {
+            syn,
             reason: Reason::Overloaded,
-        } => Some(*flow),
+        } => Some(syn.flow),
         _ => None,
     };
     actions.iter().filter_map(refused).collect()
--- a/crates/forwarding/tests/all/placement.rs
+++ b/crates/forwarding/tests/all/placement.rs
@@ -80,8 +80,7 @@
     assert!(visited[1..3].iter().all(|n| *n <= 3), "{visited:?}");
     assert!(matches!(
         fixture.packet_action(&at, &syn(flow(1))),
-        Action::Reset {
-            seq: 0,
+        Action::Unplaced {
             reason: Reason::NoCandidate,
             ..
         }
@@ -98,7 +97,7 @@
     assert_eq!(action, Action::Drop(DropReason::Unsettled));
     fixture.advance(1);
     let action = fixture.packet_action(&header(&[LOCAL]), &syn(flow(1)));
-    assert!(matches!(action, Action::Reset { .. }));
+    assert!(matches!(action, Action::Unplaced { .. }));
 }
 
 /// Guards against a backend server with many more open flows than its siblings: if all have a free
--- a/crates/forwarding/tests/all/simulation/network.rs
+++ b/crates/forwarding/tests/all/simulation/network.rs
@@ -412,6 +412,9 @@
                 Action::Resend { header, flow, .. } => {
                     self.forward(header, crate::common::syn(flow));
                 }
+                Action::Unplaced { syn, .. } => {
+                    self.send(Scheduled::Reset(number, syn.flow, 0));
+                }
                 Action::Reset { flow, seq, .. } => self.send(Scheduled::Reset(number, flow, seq)),
                 Action::NotHeld { to, header } => {
                     let balancer = (0..BALANCERS).find(|n| notice_address(*n) == to);
--- a/crates/opaque/src/agent/outcome.rs
+++ b/crates/opaque/src/agent/outcome.rs
@@ -31,6 +31,9 @@
     /// A reset was sent to the caller.
     #[display("reset.{_0}")]
     Reset(Reason),
+    /// A SYN that no agent accepts was given up.
+    #[display("unplaced.{_0}")]
+    Unplaced(Reason),
     /// Returned to the balancer, as another service may have the flow.
     #[display("not_held")]
     NotHeld,
--- a/crates/opaque/src/agent/packet_loop.rs
+++ b/crates/opaque/src/agent/packet_loop.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use forwarding::{Action, Backend, Event, Forwarder};
+use forwarding::{Action, Backend, Event, Forwarder, UnplacedSyn};
 use rpc::Key;
 use slog::{info, warn};
 use startup::LinePriority;
@@ -206,7 +206,11 @@
             match action {
                 Action::Reset { flow, .. }
                 | Action::Resend { flow, .. }
-                | Action::Admit { flow, .. } => self.execute(action, &[], flow, &mut buffers.out),
+                | Action::Admit { flow, .. }
+                | Action::Unplaced {
+                    syn: UnplacedSyn { flow, .. },
+                    ..
+                } => self.execute(action, &[], flow, &mut buffers.out),
                 Action::Notify { to, flows } => self.notify(to.into(), flows, &mut buffers.out),
                 // The other actions apply only to packets.
                 _ => {}
@@ -246,6 +250,11 @@
                 (self.codec.reset)(flow, seq, out);
                 self.send(Socket::Fabric, out, self.caller(flow));
             }
+            Action::Unplaced { syn, reason } => {
+                self.unplaced(&syn, reason);
+                (self.codec.reset)(syn.flow, 0, out);
+                self.send(Socket::Fabric, out, self.caller(syn.flow));
+            }
             Action::NotHeld { to, header } => {
                 self.not_held(flow, to);
                 self.send_packet(&header, packet, to.into(), out);
--- a/crates/opaque/src/agent/report.rs
+++ b/crates/opaque/src/agent/report.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use forwarding::{DropReason, Reason};
+use forwarding::{DropReason, Reason, UnplacedSyn};
 use slog::{info, warn};
 use startup::LinePriority;
 use tokio::time::Instant;
@@ -79,6 +79,20 @@
         }
     }
 
+    /// Logs that no agent accepts a SYN, and the agents that it visited.
+    pub(super) fn unplaced(&mut self, syn: &UnplacedSyn, reason: Reason) {
+        self.telemetry.count(Outcome::Unplaced(reason));
+        let (load, epoch) = (self.forwarder.load(), self.forwarder.epoch());
+        if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
+            let waited = u64::try_from(syn.waited.as_millis()).unwrap_or(u64::MAX);
+            let header = &syn.header;
+            warn!(log, "no agent accepts the SYN"; "flow" => %syn.flow, "reason" => %reason,
+                "copy" => syn.copy_number, "visited" => visited(header), "waited_ms" => waited,
+                "origin" => header.hints.origin.map(|to| to.to_string()),
+                "busy" => load.busy, "slots" => load.slots, "open" => load.open, "epoch" => epoch);
+        }
+    }
+
     pub(super) fn not_held(&mut self, flow: Flow, to: SocketAddrV4) {
         self.telemetry.count(Outcome::NotHeld);
         let epoch = self.forwarder.epoch();
@@ -164,3 +178,10 @@
         });
     }
 }
+
+/// Addresses of the candidates that a packet was sent to, in their order.
+fn visited(header: &Header) -> String {
+    let visited = header.candidates.iter().take(usize::from(header.hop) + 1);
+    let addresses: Vec<_> = visited.map(|c| c.address.to_string()).collect();
+    addresses.join(" ")
+}
--- a/crates/opaque/src/balancer/report.rs
+++ b/crates/opaque/src/balancer/report.rs
@@ -28,8 +28,9 @@
             return;
         }
         let (config, age) = self.view();
+        let copy = segment.opens().then(|| segment.copy_number());
         if let Some(log) = self.telemetry.flow_log(LinePriority::Low, Instant::now()) {
-            info!(log, "{message}"; "flow" => %segment.flow, "to" => target(header),
+            info!(log, "{message}"; "flow" => %segment.flow, "copy" => copy, "to" => target(header),
                 "candidates" => header.candidates.len(), "service" => header.service.0,
                 "epoch" => header.epoch.0, "config" => config, "view_age_ms" => age);
         }
--- a/crates/wire/src/inspect.rs
+++ b/crates/wire/src/inspect.rs
@@ -22,7 +22,7 @@
     pub rst: bool,
     /// Sequence number.
     pub seq: u32,
-    /// Acknowledgement number; meaningful with `ack`.
+    /// Acknowledgement number, with `ack`; in a SYN the number of copies of it that were sent before.
     pub ack_number: u32,
     /// Payload bytes.
     pub payload: usize,
@@ -36,6 +36,12 @@
     pub fn opens(&self) -> bool {
         self.syn && !self.ack && !self.rst
     }
+
+    /// Number of copies that the caller sent before this SYN; always 0 if the caller's TCP doesn't tell.
+    #[must_use]
+    pub fn copy_number(&self) -> u32 {
+        self.ack_number
+    }
 }
 
 /// Validates an IPv4 packet that contains one complete TCP segment.
