A SYN is refused only once every copy of it has come back undelivered

Cause: an agent refused a SYN that it had not delivered, on the premise that nobody had. A caller sends up to three copies, each may go to several agents, and no place knew all of them. In the case a copy reached the agent that held the first one in its queue; it sent no notice, so the balancer sent the copy to another agent, where it opened the flow. Lost notices, other balancers and zones, moved routes, restarts and slow backend servers part copies as well.

Why the fix works: agents return SYNs to the balancer instead of refusing them, a copy of a queued SYN included. The balancer refuses an attempt only if every copy that the caller can have sent by now came in here, and each packet that it sent for them came back. What was delivered, lost or sent elsewhere doesn't come back, whatever parted the copies.

The tests in dispatch `refusals` and three in forwarding need the new interface. Changed checks: five tests of an agent's refusal expect that the SYN goes to the balancer with its reason, in place of a reset; they also check receiver and packet now. service_without_members_is_refused_after_the_startup_grace uses a second flow, as the same SYN sent twice is a copy.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -9,6 +9,7 @@
 use wire::{Candidate, Candidates, Header, Hints, Notice, Segment};
 
 use crate::absences::Absences;
+use crate::attempts::Attempts;
 use crate::directory::{self, Directory};
 use crate::link::LinkLimiter;
 use crate::pending_syns::{PendingSyn, PendingSyns};
@@ -29,7 +30,7 @@
         /// SYN packet.
         inner: Box<[u8]>,
     },
-    /// Answer the SYN with a reset.
+    /// Answer the SYN with a reset: no copy of it was delivered, or will be.
     Refuse(DropReason),
     /// Send the packet of an open flow, which waited for a read of the view, with this header.
     Search {
@@ -67,6 +68,10 @@
     OwnSource,
     /// The link has reached its limit of bulk transfers.
     LinkFull,
+    /// No agent accepts the SYN or a copy of it.
+    NotPlaced,
+    /// An agent gave up a SYN, but a copy of it may have opened the flow.
+    MayBeOpen,
 }
 
 /// Decides on the packets that a balancer receives; keeps known owners, pending SYNs and agents to
@@ -80,6 +85,9 @@
     started: Instant,
     owners: OwnerCache<(ServiceId, Candidate)>,
     absences: Absences,
+    attempts: Attempts,
+    /// Every packet that arrived before has been handled.
+    drained_at: Instant,
     pending_syns: PendingSyns,
     suspects: Suspects,
     link: LinkLimiter,
@@ -104,6 +112,12 @@
                 settings.absence_ttl,
                 settings.read_timeout,
             ),
+            attempts: Attempts::new(
+                settings.max_openings,
+                settings.syn_copies,
+                settings.caller_round_trip,
+            ),
+            drained_at: now,
             pending_syns: PendingSyns::default(),
             suspects: Suspects::new(settings.failure_threshold, settings.avoid_duration),
             link: LinkLimiter::new(settings.link.clone()),
@@ -111,6 +125,11 @@
         }
     }
 
+    /// Records that every packet that arrived before `at` has been handled.
+    pub fn record_drained(&mut self, at: Instant) {
+        self.drained_at = at;
+    }
+
     /// Handles a packet of a caller and appends the actions to `out`.
     ///
     /// `current` tells whether control confirmed the directory recently; if not, SYNs are dropped
@@ -128,19 +147,58 @@
             return out.push(Action::Drop(DropReason::OwnSource));
         }
         if segment.opens() {
-            out.push(match self.open(now, directory, segment, inner) {
-                Ok(header) => Action::Send(header),
-                Err(reason) if current && self.may_refuse(now, directory, reason) => {
-                    Action::Refuse(reason)
-                }
-                Err(reason) => Action::Drop(reason),
-            });
+            self.attempts.record_copy(now, self.drained_at, segment);
+            out.push(self.handle_syn(now, directory, current, segment, inner));
         } else {
             self.link.observe(now, segment);
             self.send_to_owner(now, directory, &segment.flow, out);
         }
     }
 
+    fn handle_syn(
+        &mut self,
+        now: Instant,
+        directory: &Directory,
+        current: bool,
+        segment: &Segment,
+        inner: &[u8],
+    ) -> Action {
+        let flow = &segment.flow;
+        let refusable = self.attempts.may_refuse(now, flow);
+        if refusable && self.attempts.is_given_up(flow) {
+            return Action::Refuse(DropReason::NotPlaced);
+        }
+        match self.open(now, directory, segment, inner) {
+            Ok(header) => {
+                self.attempts.record_sent(flow);
+                Action::Send(header)
+            }
+            Err(reason) if refusable && current && self.may_refuse(now, directory, reason) => {
+                Action::Refuse(reason)
+            }
+            Err(reason) => Action::Drop(reason),
+        }
+    }
+
+    /// Handles a SYN that no agent accepts. The caller gets a reset if this holds for every copy of it.
+    pub fn handle_unplaced(
+        &mut self,
+        now: Instant,
+        header: &Header,
+        segment: &Segment,
+        out: &mut Vec<Action>,
+    ) {
+        // An agent has answered, so the next candidate isn't tried.
+        self.pending_syns.remove(&segment.flow);
+        let copied = header.hints.owner_uncertain;
+        let known = self.attempts.record_returned(segment, copied);
+        out.push(if known && self.attempts.may_refuse(now, &segment.flow) {
+            Action::Refuse(DropReason::NotPlaced)
+        } else {
+            Action::Drop(DropReason::MayBeOpen)
+        });
+    }
+
     /// Whether a SYN may be refused for `reason`. Before the first view no route is known, and shortly
     /// after the start not every member is.
     fn may_refuse(&self, now: Instant, directory: &Directory, reason: DropReason) -> bool {
@@ -250,6 +308,7 @@
                 continue;
             }
             let header = header.next_hop(header.flags);
+            self.attempts.record_sent(&flow);
             let next = PendingSyn {
                 header,
                 inner: inner.clone(),
@@ -327,6 +386,7 @@
                 .collect();
         }
         let mut header = self.header(service, steering.current().epoch, candidates);
+        header.hints.return_unheld = true;
         header.hints.priority = route.priority;
         header.hints.latency_target_ms = u16::try_from(route.latency_ms.0).unwrap_or(u16::MAX);
         if self.pending_syns.len() < self.settings.max_pending {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! this state; if it is lost, packets take one more hop.
 
 mod absences;
+mod attempts;
 mod directory;
 mod dispatch;
 mod link;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -16,6 +16,13 @@
     pub max_attempts: u8,
     /// Maximum number of pending SYNs.
     pub max_pending: usize,
+    /// Times after its first SYN at which a caller sends copies, which tell their number.
+    pub syn_copies: &'static [Duration],
+    /// Longest time for the way from a caller to this balancer and back, within which a SYN may be
+    /// refused before the caller sends its next copy.
+    pub caller_round_trip: Duration,
+    /// Maximum number of attempts of callers to open a flow that are remembered.
+    pub max_openings: usize,
     /// Maximum number of cached owners.
     pub max_owners: usize,
     /// Time after which an unused owner is removed from the cache.
@@ -42,6 +49,9 @@
             syn_timeout: Duration::from_millis(40),
             max_attempts: 3,
             max_pending: 16_384,
+            syn_copies: &[],
+            caller_round_trip: Duration::from_millis(50),
+            max_openings: 16_384,
             max_owners: 65_536,
             owner_ttl: Duration::from_secs(60),
             max_absences: 4_096,
--- a/crates/dispatch/tests/all/common.rs
+++ b/crates/dispatch/tests/all/common.rs
@@ -120,6 +120,8 @@
     pub dispatcher: Dispatcher,
     pub directory: Directory,
     pub now: Instant,
+    /// How long a packet may have waited in the socket.
+    pub drained_ago: Duration,
 }
 
 impl Harness {
@@ -134,11 +136,13 @@
             dispatcher: Dispatcher::new(settings, notice_address, centre("a"), now),
             directory: directory(routes),
             now: now + Duration::from_secs(10),
+            drained_ago: Duration::ZERO,
         }
     }
 
     pub fn packet(&mut self, segment: &Segment) -> Vec<Action> {
         let mut out = Vec::new();
+        self.dispatcher.record_drained(self.now - self.drained_ago);
         self.dispatcher
             .handle_packet(self.now, &self.directory, true, segment, b"syn", &mut out);
         out
@@ -177,6 +181,14 @@
         out
     }
 
+    /// Delivers a SYN that no agent accepts.
+    pub fn unplaced(&mut self, header: &Header, segment: &Segment) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.dispatcher
+            .handle_unplaced(self.now, header, segment, &mut out);
+        out
+    }
+
     /// Reads the view, which is that of `directory`, from control.
     pub fn read(&mut self, directory: Directory) -> Vec<Action> {
         self.directory = directory.with_read_at(Some(self.now));
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod link;
 mod packets;
 mod reads;
+mod refusals;
 mod several;
--- a/crates/dispatch/tests/all/packets.rs
+++ b/crates/dispatch/tests/all/packets.rs
@@ -157,10 +157,11 @@
     let mut harness = Harness::new(vec![route(80, &[(ServiceId(9), 1)], &[])]);
     let started = harness.now - Duration::from_secs(10);
     harness.now = started + Duration::from_millis(1_499);
-    let syn = syn(flow(1, 80));
-    assert_eq!(harness.packet(&syn), [Action::Drop(DropReason::NoMember)]);
+    let dropped = harness.packet(&syn(flow(1, 80)));
+    assert_eq!(dropped, [Action::Drop(DropReason::NoMember)]);
     harness.now = started + Duration::from_millis(1_500);
-    assert_eq!(harness.packet(&syn), [Action::Refuse(DropReason::NoMember)]);
+    let refused = harness.packet(&syn(flow(2, 80)));
+    assert_eq!(refused, [Action::Refuse(DropReason::NoMember)]);
 }
 
 /// Guards against losing open flows when their route changes to another service, and against sending
--- a/crates/forwarding/src/admission.rs
+++ b/crates/forwarding/src/admission.rs
@@ -22,7 +22,7 @@
     /// Number of copies that the caller sent before it.
     pub(crate) copy_number: u32,
     pub(crate) queued_at: Instant,
-    /// When its caller gets a reset.
+    /// When it is given up.
     pub(crate) deadline: Instant,
 }
 
@@ -57,8 +57,8 @@
         self.order.len()
     }
 
-    pub(crate) fn contains(&self, flow: &Flow) -> bool {
-        self.positions.contains_key(flow)
+    pub(crate) fn get(&self, flow: &Flow) -> Option<&QueuedSyn> {
+        self.order.get(self.positions.get(flow)?)
     }
 
     pub(crate) fn push(&mut self, syn: QueuedSyn) {
--- a/crates/forwarding/src/event.rs
+++ b/crates/forwarding/src/event.rs
@@ -110,8 +110,11 @@
         /// this agent's table.
         header: Header,
     },
-    /// Answer a SYN with a reset: it was not delivered, and won't be.
+    /// Return a SYN to the balancer: it was not delivered, and won't be. Only the balancer can know
+    /// whether that holds for its copies as well.
     Unplaced {
+        /// Address for notices to the balancer.
+        to: SocketAddrV4,
         /// The SYN, which may be another one than that of the event.
         syn: UnplacedSyn,
         /// Why no agent accepts it.
@@ -193,6 +196,8 @@
     Restarted,
     /// The SYN timed out in the admission queue, or the queue was full.
     Overloaded,
+    /// A copy of the SYN is in the admission queue.
+    Queued,
 }
 
 /// Reason for dropping a packet; the name is the metric's name.
@@ -205,7 +210,8 @@
     OtherService,
     /// No agent is known to have the flow.
     Unknown,
-    /// No agent has the flow, and the balancer, of an earlier version, doesn't take the packet back.
+    /// No agent has the flow or accepts the SYN, and the balancer, of an earlier version, doesn't take
+    /// the packet back.
     Unreturnable,
     /// No agent can accept the SYN, and this agent started only recently.
     Unsettled,
--- a/crates/forwarding/src/placement.rs
+++ b/crates/forwarding/src/placement.rs
@@ -17,12 +17,17 @@
     accept: true,
 };
 
+/// Returns a SYN that was not delivered to its balancer.
+pub(crate) fn return_syn(syn: UnplacedSyn, reason: Reason) -> Action {
+    match syn.header.hints.origin {
+        Some(to) if syn.header.hints.return_unheld => Action::Unplaced { to, syn, reason },
+        _ => Action::Drop(DropReason::Unreturnable),
+    }
+}
+
 /// Gives up a SYN that timed out in the admission queue or was evicted from it.
 pub(crate) fn give_up_queued(now: Instant, syn: QueuedSyn) -> Action {
-    Action::Unplaced {
-        syn: syn.give_up(now),
-        reason: Reason::Overloaded,
-    }
+    return_syn(syn.give_up(now), Reason::Overloaded)
 }
 
 /// Decision about a SYN.
@@ -48,8 +53,22 @@
         out: &mut Vec<Action>,
     ) {
         let flow = segment.flow;
-        if self.admission_queue.contains(&flow) {
-            return out.push(Action::Queue);
+        let unplaced = || UnplacedSyn {
+            flow,
+            header: *header,
+            inner: inner.into(),
+            copy_number: segment.copy_number(),
+            waited: Duration::ZERO,
+        };
+        if let Some(queued) = self.admission_queue.get(&flow) {
+            // The balancer learns that the caller's next copy wasn't delivered either. A packet that
+            // came twice is no other copy.
+            let again = queued.copy_number == segment.copy_number();
+            return out.push(if again {
+                Action::Queue
+            } else {
+                return_syn(unplaced(), Reason::Queued)
+            });
         }
         self.redirects.remove(&flow);
         match self.choose_placement(now, &flow, header) {
@@ -59,16 +78,7 @@
             }
             Placement::Queue => self.queue_syn(now, header, segment, inner, out),
             Placement::Forward(header, reason) => out.push(Action::Forward(header, reason)),
-            Placement::Refuse => {
-                let syn = UnplacedSyn {
-                    flow,
-                    header: *header,
-                    inner: inner.into(),
-                    copy_number: segment.copy_number(),
-                    waited: Duration::ZERO,
-                };
-                out.push(self.refuse_syn(now, syn));
-            }
+            Placement::Refuse => out.push(self.refuse_syn(now, unplaced())),
         }
     }
 
@@ -77,10 +87,7 @@
         if now < self.started_at + self.settings.startup_grace {
             return Action::Drop(DropReason::Unsettled);
         }
-        Action::Unplaced {
-            syn,
-            reason: Reason::NoCandidate,
-        }
+        return_syn(syn, Reason::NoCandidate)
     }
 
     fn accept_syn(&mut self, now: Instant, header: &Header, flow: &Flow, inner: &[u8]) {
--- a/crates/forwarding/src/timers.rs
+++ b/crates/forwarding/src/timers.rs
@@ -38,7 +38,9 @@
             self.unresponsive_since.get_or_insert(now);
             // The flow stays tracked, as a slow backend server may still answer.
             self.end_request(&flow);
-            if let Some(header) = self.reroute_pending(&flow, &pending) {
+            if let Some(mut header) = self.reroute_pending(&flow, &pending) {
+                // The backend server may still answer, so the SYN that is sent on is a copy.
+                header.hints.owner_uncertain = true;
                 let inner = pending.inner;
                 out.push(Action::Resend {
                     header,
--- a/crates/forwarding/tests/all/admission.rs
+++ b/crates/forwarding/tests/all/admission.rs
@@ -4,7 +4,7 @@
 
 use forwarding::{Action, Backend, Event, ForwardSettings, Reason};
 use units::Flow;
-use wire::Header;
+use wire::{Header, Segment};
 
 use crate::common::{
     Fixture, LOCAL, answer, backend, balancer, data, flow, flow_notices, header, load, resent_syns,
@@ -40,15 +40,22 @@
     actions.iter().filter_map(admitted).collect()
 }
 
-fn refused(actions: &[Action]) -> Vec<Flow> {
-    let refused = |action: &Action| match action {
+/// Flows whose SYNs are given up: they go back to the balancer, which alone may refuse them.
+fn given_up(actions: &[Action]) -> Vec<Flow> {
+    let resets = actions.iter().filter(|a| matches!(a, Action::Reset { .. }));
+    assert_eq!(resets.count(), 0, "{actions:?}");
+    let given_up = |action: &Action| match action {
         Action::Unplaced {
+            to,
             syn,
             reason: Reason::Overloaded,
-        } => Some(syn.flow),
+        } => {
+            assert_eq!((*to, &*syn.inner), (balancer(), &b"inner"[..]));
+            Some(syn.flow)
+        }
         _ => None,
     };
-    actions.iter().filter_map(refused).collect()
+    actions.iter().filter_map(given_up).collect()
 }
 
 /// Guards against a queue at the backend server that delays every response, and against a balancer
@@ -82,6 +89,38 @@
     assert_eq!(admitted(&fixture.outbound(&answer(flow(2), 500))), []);
 }
 
+/// Guards against a copy of a queued SYN that the balancer takes for unanswered and sends to another agent,
+/// where it opened a flow whose first SYN was then refused (review/11).
+#[test]
+fn copy_of_a_queued_syn_goes_back_to_the_balancer() {
+    let mut fixture = at_capacity();
+    fixture.packet(&last_candidate(1), &syn(flow(5)));
+    let copy = Segment {
+        ack_number: 1,
+        ..syn(flow(5))
+    };
+    let actions = fixture.packet(&last_candidate(1), &copy);
+    let [Action::Unplaced { to, syn, reason }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((*to, *reason), (balancer(), Reason::Queued));
+    assert_eq!((syn.flow, syn.copy_number), (flow(5), 1));
+    assert_eq!(fixture.forwarder.queued_syns(), 1);
+}
+
+/// Guards against a refusal by a balancer of an earlier version, which doesn't know of the copies.
+#[test]
+fn syns_of_earlier_balancers_are_not_refused() {
+    let mut fixture = at_capacity();
+    let mut header = last_candidate(1);
+    header.hints.return_unheld = false;
+    fixture.packet(&header, &syn(flow(5)));
+    let timeout = ForwardSettings::default().queue_timeout;
+    let actions = fixture.advance(u64::try_from(timeout.as_millis()).unwrap());
+    assert_eq!(given_up(&actions), []);
+    assert_eq!(fixture.forwarder.queued_syns(), 0);
+}
+
 /// Guards against responses that are all late under overload because the oldest SYNs are admitted
 /// first, and against SYNs that are admitted after ones of lower priority.
 #[test]
@@ -96,16 +135,16 @@
     assert_eq!(order, [8, 6, 7, 5].map(flow));
 }
 
-/// Guards against callers that get no answer until their deadline: a queued SYN is reset after the
+/// Guards against callers that get no answer until their deadline: a queued SYN is given up after the
 /// timeout, and is then never delivered.
 #[test]
-fn queued_syns_time_out_with_a_reset() {
+fn queued_syns_are_given_up_after_the_timeout() {
     let mut fixture = at_capacity();
     let timeout = ForwardSettings::default().queue_timeout;
     fixture.packet(&last_candidate(1), &syn(flow(5)));
     let early = fixture.advance(u64::try_from(timeout.as_millis()).unwrap() - 1);
-    assert_eq!(refused(&early), []);
-    assert_eq!(refused(&fixture.advance(1)), [flow(5)]);
+    assert_eq!(given_up(&early), []);
+    assert_eq!(given_up(&fixture.advance(1)), [flow(5)]);
     // It is not delivered to the backend server afterwards.
     let later: Vec<_> = (1..=4)
         .flat_map(|port| admitted(&fixture.outbound(&answer(flow(port), 500))))
@@ -144,7 +183,7 @@
         fixture.packet(&last_candidate(1), &syn(flow(100 + port)));
     }
     let actions = fixture.packet(&last_candidate(1), &syn(flow(5)));
-    assert_eq!(refused(&actions), [flow(100)]);
+    assert_eq!(given_up(&actions), [flow(100)]);
     assert_eq!(fixture.forwarder.queued_syns(), usize::from(max));
 }
 
@@ -157,8 +196,8 @@
     fixture.packet(&header, &syn(flow(5)));
     header.hints.latency_target_ms = 5_000;
     fixture.packet(&header, &syn(flow(6)));
-    assert_eq!(refused(&fixture.advance(239)), []);
-    assert_eq!(refused(&fixture.advance(1)), [flow(5)]);
-    assert_eq!(refused(&fixture.advance(759)), []);
-    assert_eq!(refused(&fixture.advance(1)), [flow(6)]);
+    assert_eq!(given_up(&fixture.advance(239)), []);
+    assert_eq!(given_up(&fixture.advance(1)), [flow(5)]);
+    assert_eq!(given_up(&fixture.advance(759)), []);
+    assert_eq!(given_up(&fixture.advance(1)), [flow(6)]);
 }
--- a/crates/forwarding/tests/all/placement.rs
+++ b/crates/forwarding/tests/all/placement.rs
@@ -4,7 +4,7 @@
 use wire::Flags;
 
 use crate::common::{
-    Fixture, LOCAL, backend, candidate_numbers, fin, flow, header, load, member, members,
+    Fixture, LOCAL, backend, balancer, candidate_numbers, fin, flow, header, load, member, members,
     resent_syns, syn, syn_ack, target,
 };
 
@@ -20,6 +20,15 @@
     fixture
 }
 
+/// Asserts that a SYN goes back to the balancer, as no candidate accepts it.
+fn assert_not_placed(action: &Action) {
+    let Action::Unplaced { to, syn, reason } = action else {
+        panic!("{action:?}");
+    };
+    assert_eq!((*to, *reason), (balancer(), Reason::NoCandidate));
+    assert_eq!((syn.flow, &*syn.inner), (flow(1), &b"inner"[..]));
+}
+
 /// Guards against a SYN that is forwarded although a slot is free here.
 #[test]
 fn syn_is_delivered_to_a_free_slot() {
@@ -78,13 +87,7 @@
     }
     // Members of the local data centre come first.
     assert!(visited[1..3].iter().all(|n| *n <= 3), "{visited:?}");
-    assert!(matches!(
-        fixture.packet_action(&at, &syn(flow(1))),
-        Action::Unplaced {
-            reason: Reason::NoCandidate,
-            ..
-        }
-    ));
+    assert_not_placed(&fixture.packet_action(&at, &syn(flow(1))));
 }
 
 /// Guards against wrong refusals when all processes start at the same time: backend servers that
@@ -97,7 +100,7 @@
     assert_eq!(action, Action::Drop(DropReason::Unsettled));
     fixture.advance(1);
     let action = fixture.packet_action(&header(&[LOCAL]), &syn(flow(1)));
-    assert!(matches!(action, Action::Unplaced { .. }));
+    assert_not_placed(&action);
 }
 
 /// Guards against a backend server with many more open flows than its siblings: if all have a free
@@ -175,6 +178,21 @@
     assert_eq!(action, Action::Deliver(Reason::FreeSlot));
 }
 
+/// Guards against the refusal of a SYN that a slow backend server still answers: the one that is sent on is
+/// marked as a copy.
+#[test]
+fn resent_syn_is_marked_as_a_copy() {
+    let mut fixture = Fixture::new();
+    fixture.packet_action(&header(&[LOCAL, 2, 3]), &syn(flow(1)));
+    let actions = fixture.advance(25);
+    let mut resent = actions.iter().filter_map(|action| match action {
+        Action::Resend { header, .. } => Some(header),
+        _ => None,
+    });
+    assert!(resent.next().unwrap().hints.owner_uncertain);
+    assert_eq!(resent.next(), None);
+}
+
 /// Guards against an answered SYN that is resent to a second backend server, which wastes a
 /// connection there and a slot at the first.
 #[test]
--- a/crates/forwarding/tests/all/simulation/backend_server.rs
+++ b/crates/forwarding/tests/all/simulation/backend_server.rs
@@ -59,6 +59,11 @@
         open.is_some_and(|open| open.initial_seq == initial_seq)
     }
 
+    /// Whether it has accepted a SYN of the flow.
+    pub fn has_any_flow(&self, flow: &Flow) -> bool {
+        self.open.contains_key(flow)
+    }
+
     /// Whether it has received a request of the flow.
     pub fn has_received_request(&self, flow: &Flow) -> bool {
         self.ended.contains_key(flow)
--- a/crates/forwarding/tests/all/simulation/caller.rs
+++ b/crates/forwarding/tests/all/simulation/caller.rs
@@ -31,6 +31,11 @@
     pub initial_seq: Option<u32>,
     /// Number of answers that advanced the flow.
     pub answers: u32,
+    /// Number of SYNs sent.
+    pub syns_sent: u32,
+    /// Whether the backend server sent anything after its SYN-ACK: before, the caller can't know that
+    /// the flow is open there, and takes a reset with any number.
+    pub confirmed: bool,
     request_seq: u32,
     requests_left: u32,
 }
@@ -42,6 +47,8 @@
             stage: Stage::Opening,
             initial_seq: None,
             answers: 0,
+            syns_sent: 0,
+            confirmed: false,
             request_seq: FIRST_REQUEST_SEQ,
             requests_left: requests,
         }
@@ -55,7 +62,10 @@
     pub fn segment(&self) -> Option<Segment> {
         let initial_seq = self.initial_seq.unwrap_or(0);
         match self.stage {
-            Stage::Opening => Some(syn(self.flow)),
+            Stage::Opening => Some(Segment {
+                ack_number: self.syns_sent,
+                ..syn(self.flow)
+            }),
             Stage::Requesting => Some(Segment {
                 seq: self.request_seq,
                 ..data(self.flow, initial_seq)
@@ -76,6 +86,7 @@
             self.answers += 1;
             return true;
         }
+        self.confirmed = true;
         match self.stage {
             Stage::Requesting if !segment.fin && segment.ack_number == self.request_seq => {
                 self.request_seq += 1;
--- a/crates/forwarding/tests/all/simulation/mod.rs
+++ b/crates/forwarding/tests/all/simulation/mod.rs
@@ -86,7 +86,8 @@
 }
 
 /// Guards against callers that get neither a response nor a reset under overload, and against the
-/// refusal of a flow whose request a backend server has received.
+/// refusal of a flow that a copy of its SYN opened: copies enter at several balancers, notices get lost,
+/// and agents restart or drain.
 #[test]
 fn overload_is_served_or_refused() {
     run_seeds_at(ArrivalInterval::Overload, 0.0, &[]);
--- a/crates/forwarding/tests/all/simulation/network.rs
+++ b/crates/forwarding/tests/all/simulation/network.rs
@@ -20,10 +20,7 @@
 
 use super::backend_server::{BackendServer, Output};
 use super::caller::Caller;
-use crate::common::{SERVICE, flow, members, table};
-
-/// Inner packet; its content doesn't matter.
-const INNER: &[u8] = b"inner";
+use crate::common::{SERVICE, flow, members, syn, table};
 
 const SLOTS: u16 = 2;
 const BALANCERS: usize = 3;
@@ -40,9 +37,10 @@
 /// Time after which a caller retransmits an unanswered segment.
 const RETRANSMIT_MS: u64 = 200;
 
-/// Maximum time of a SYN in the admission queue under overload; with the default, the overload
-/// would end before any SYN times out.
-const OVERLOAD_QUEUE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum times of a SYN in the admission queue under overload, one per seed in turn: before and after
+/// the caller sends a copy. With the default, the overload would end before any SYN times out.
+const OVERLOAD_QUEUE_TIMEOUTS: [Duration; 2] =
+    [Duration::from_millis(100), Duration::from_millis(300)];
 
 /// Time that a linearizable read of a balancer's view takes.
 const READ_MS: u64 = 20;
@@ -85,6 +83,8 @@
     FromBackend(usize, u64, Output),
     ToCaller(Flow, Segment),
     Reset(usize, Flow, u32),
+    /// A SYN that an agent returns to a balancer.
+    Unplaced(usize, Box<Header>, Segment),
     Done(usize, u64, Flow),
     /// Sends the outstanding segment of a caller, unless it has received an answer since.
     Transmit(Flow, u32),
@@ -118,10 +118,21 @@
     /// Flows that a backend server lost in a restart, with their initial sequence numbers.
     lost: HashSet<(Flow, u32)>,
     faults: Vec<String>,
+    entry: Entry,
+    /// Maximum time of a SYN in the admission queue.
+    queue_timeout: Duration,
     /// Whether more callers arrive than can be served, so that some may be refused.
     overloaded: bool,
 }
 
+/// Balancer at which a packet enters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Entry {
+    /// The same for all packets of a flow.
+    Same,
+    Random,
+}
+
 /// Time between the arrivals of two callers, in ms.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ArrivalInterval {
@@ -153,6 +164,17 @@
             callers: BTreeMap::new(),
             lost: HashSet::new(),
             faults: Vec::new(),
+            entry: if seed % 4 < 2 {
+                Entry::Random
+            } else {
+                Entry::Same
+            },
+            queue_timeout: match interval {
+                ArrivalInterval::Normal => ForwardSettings::default().queue_timeout,
+                ArrivalInterval::Overload => {
+                    OVERLOAD_QUEUE_TIMEOUTS[seed as usize % OVERLOAD_QUEUE_TIMEOUTS.len()]
+                }
+            },
             overloaded: interval == ArrivalInterval::Overload,
         };
         simulation.update_directory();
@@ -208,15 +230,9 @@
             address: member.packets,
             incarnation: member.incarnation,
         };
-        let defaults = ForwardSettings::default();
-        let queue_timeout = if self.overloaded {
-            OVERLOAD_QUEUE_TIMEOUT
-        } else {
-            defaults.queue_timeout
-        };
         let settings = ForwardSettings {
-            queue_timeout,
-            ..defaults
+            queue_timeout: self.queue_timeout,
+            ..ForwardSettings::default()
         };
         Forwarder::new(settings, me, self.instant())
     }
@@ -282,13 +298,16 @@
                 let event = Event::Packet {
                     header: &header,
                     segment: &segment,
-                    inner: INNER,
+                    inner: &inner(&segment),
                 };
                 self.handle(number, event, Some(&segment));
             }
             Scheduled::NotHeld(number, header, segment) => {
                 self.return_packet(number, &header, &segment);
             }
+            Scheduled::Unplaced(number, header, segment) => {
+                self.return_syn(number, &header, &segment);
+            }
             Scheduled::ReadView(number, began) => self.finish_read(number, began),
             Scheduled::TickAgent(number) => {
                 self.handle(number, Event::Tick, None);
@@ -335,29 +354,33 @@
         }
     }
 
-    /// Sends the outstanding segment of a caller through a random balancer until it is answered.
+    /// Sends the outstanding segment of a caller until it is answered.
     fn transmit(&mut self, flow: Flow, answers: u32) {
-        let caller = &self.callers[&flow];
+        let caller = self.callers.get_mut(&flow).unwrap();
         let Some(segment) = caller.segment().filter(|_| caller.answers == answers) else {
             return;
         };
-        let number = self.random.random_range(0..BALANCERS);
+        caller.syns_sent += u32::from(segment.opens());
+        let number = match self.entry {
+            Entry::Same => flow.hash() as usize % BALANCERS,
+            Entry::Random => self.random.random_range(0..BALANCERS),
+        };
         self.send(Scheduled::ToBalancer(number, segment));
         self.schedule(self.now + RETRANSMIT_MS, Scheduled::Transmit(flow, answers));
     }
 
     fn reset(&mut self, number: usize, flow: Flow, seq: u32) {
         let caller = &self.callers[&flow];
-        // A caller of an open flow ignores resets with an unexpected sequence number.
-        if caller
-            .initial_seq
-            .is_some_and(|initial_seq| seq != initial_seq + 1)
-        {
+        // A caller that knows its flow to be open ignores resets with an unexpected sequence number.
+        let is_expected = |initial_seq| seq == initial_seq + 1;
+        if caller.confirmed && !caller.initial_seq.is_some_and(is_expected) {
             return;
         }
-        let holder = caller.initial_seq.and_then(|initial_seq| {
-            let mut backends = self.backends.iter();
-            backends.position(|backend| backend.has_flow(&flow, initial_seq))
+        let holder = self.backends.iter().position(|backend| {
+            let seq = caller.initial_seq;
+            seq.map_or(backend.has_any_flow(&flow), |seq| {
+                backend.has_flow(&flow, seq)
+            })
         });
         assert!(
             caller.is_done() || holder.is_none(),
@@ -399,8 +422,8 @@
                     let scheduled = Scheduled::ToBackend(number, *segment.unwrap());
                     self.schedule(self.now + 1, scheduled);
                 }
-                Action::Admit { flow, .. } => {
-                    let scheduled = Scheduled::ToBackend(number, crate::common::syn(flow));
+                Action::Admit { flow, inner, .. } => {
+                    let scheduled = Scheduled::ToBackend(number, stored_syn(flow, &inner));
                     self.schedule(self.now + 1, scheduled);
                 }
                 Action::Queue => {}
@@ -409,11 +432,16 @@
                     self.send(Scheduled::ToCaller(segment.flow, segment));
                 }
                 Action::Forward(header, _) => self.forward(header, *segment.unwrap()),
-                Action::Resend { header, flow, .. } => {
-                    self.forward(header, crate::common::syn(flow));
-                }
-                Action::Unplaced { syn, .. } => {
-                    self.send(Scheduled::Reset(number, syn.flow, 0));
+                Action::Resend {
+                    header,
+                    flow,
+                    inner,
+                } => self.forward(header, stored_syn(flow, &inner)),
+                Action::Unplaced { to, syn, .. } => {
+                    let balancer = (0..BALANCERS).find(|n| notice_address(*n) == to);
+                    let segment = stored_syn(syn.flow, &syn.inner);
+                    let header = Box::new(syn.header);
+                    self.send(Scheduled::Unplaced(balancer.unwrap(), header, segment));
                 }
                 Action::Reset { flow, seq, .. } => self.send(Scheduled::Reset(number, flow, seq)),
                 Action::NotHeld { to, header } => {
@@ -483,3 +511,16 @@
     let last = u8::try_from(number + 1).unwrap();
     SocketAddrV4::new([10, 9, 9, last].into(), 7_100)
 }
+
+/// Inner packet: the number of a SYN's copy, as nothing else of it is read.
+fn inner(segment: &Segment) -> [u8; 1] {
+    [u8::try_from(segment.copy_number()).unwrap_or(u8::MAX)]
+}
+
+/// The SYN of a flow that was stored as an inner packet.
+fn stored_syn(flow: Flow, inner: &[u8]) -> Segment {
+    Segment {
+        ack_number: u32::from(inner[0]),
+        ..syn(flow)
+    }
+}
--- a/crates/forwarding/tests/all/simulation/network/balancers.rs
+++ b/crates/forwarding/tests/all/simulation/network/balancers.rs
@@ -1,22 +1,40 @@
 //! Balancers of the simulation, with their views.
 
+use std::time::Duration;
+
 use api::{RouteView, ServiceView, TableUpdate, TargetView, WatchReply};
-use dispatch::{Action, Directory, DispatchSettings, Dispatcher};
+use dispatch::{Action, Directory, DispatchSettings, Dispatcher, DropReason};
 use tokio::time::Instant;
 use units::{Millis, Version};
 use watcher::View;
 use wire::{Header, Segment};
 
-use super::{INNER, READ_MS, Scheduled, Simulation, notice_address};
-use crate::common::{SERVICE, centre, flow, syn, table};
+use super::{READ_MS, RETRANSMIT_MS, Scheduled, Simulation, inner, notice_address, stored_syn};
+use crate::common::{SERVICE, centre, flow, table};
+
+/// Times after its first SYN at which a caller sends copies.
+static SYN_COPIES: [Duration; 60] = {
+    let mut times = [Duration::ZERO; 60];
+    let mut number = 0;
+    while number < times.len() {
+        times[number] = Duration::from_millis(RETRANSMIT_MS * (number as u64 + 1));
+        number += 1;
+    }
+    times
+};
 
 impl Simulation {
     pub(super) fn balancer(&self, number: usize) -> Dispatcher {
-        let settings = DispatchSettings::default();
+        let settings = DispatchSettings {
+            syn_copies: &SYN_COPIES,
+            ..DispatchSettings::default()
+        };
+        // Copies that enter in another data centre have other candidates.
+        let centre_name = if number == 0 { "b" } else { "a" };
         Dispatcher::new(
             settings,
             notice_address(number),
-            centre("a"),
+            centre(centre_name),
             self.instant(),
         )
     }
@@ -41,7 +59,7 @@
                     weight: 1,
                 }],
                 former: vec![],
-                latency_ms: Millis(100),
+                latency_ms: Millis(150),
                 priority: 1,
             }],
             complete: true,
@@ -64,7 +82,9 @@
         let balancer = &mut self.balancers[number];
         match segment {
             Some(segment) => {
-                balancer.handle_packet(now, &directory, true, segment, INNER, &mut out);
+                let inner = inner(segment);
+                balancer.record_drained(now);
+                balancer.handle_packet(now, &directory, true, segment, &inner, &mut out);
             }
             None => balancer.tick(now, &mut out),
         }
@@ -76,9 +96,16 @@
         for action in out {
             match action {
                 Action::Send(header) => self.forward(header, *segment.unwrap()),
-                Action::Resend { flow, header, .. } => {
-                    self.forward(header, syn(flow));
+                Action::Resend {
+                    flow,
+                    header,
+                    inner,
+                } => self.forward(header, stored_syn(flow, &inner)),
+                Action::Refuse(_) => {
+                    let flow = segment.unwrap().flow;
+                    self.send(Scheduled::Reset(number, flow, 0));
                 }
+                Action::Drop(DropReason::MayBeOpen) => {}
                 Action::Search { flow, header, .. } => {
                     if let Some(segment) = self.callers[&flow].segment() {
                         self.forward(header, segment);
@@ -101,7 +128,15 @@
         let (now, directory) = (self.instant(), self.directory_of(number));
         let mut out = Vec::new();
         let balancer = &mut self.balancers[number];
-        balancer.handle_not_held(now, &directory, header, segment, INNER, &mut out);
+        balancer.handle_not_held(now, &directory, header, segment, &inner(segment), &mut out);
+        self.execute(number, out, Some(segment));
+    }
+
+    /// Hands a SYN that no agent accepts to its balancer.
+    pub(super) fn return_syn(&mut self, number: usize, header: &Header, segment: &Segment) {
+        let mut out = Vec::new();
+        let now = self.instant();
+        self.balancers[number].handle_unplaced(now, header, segment, &mut out);
         self.execute(number, out, Some(segment));
     }
 
--- a/crates/opaque/src/agent/outcome.rs
+++ b/crates/opaque/src/agent/outcome.rs
@@ -31,7 +31,7 @@
     /// A reset was sent to the caller.
     #[display("reset.{_0}")]
     Reset(Reason),
-    /// A SYN that no agent accepts was given up.
+    /// A SYN that no agent accepts was returned to the balancer.
     #[display("unplaced.{_0}")]
     Unplaced(Reason),
     /// Returned to the balancer, as another service may have the flow.
--- a/crates/opaque/src/agent/packet_loop.rs
+++ b/crates/opaque/src/agent/packet_loop.rs
@@ -250,10 +250,9 @@
                 (self.codec.reset)(flow, seq, out);
                 self.send(Socket::Fabric, out, self.caller(flow));
             }
-            Action::Unplaced { syn, reason } => {
+            Action::Unplaced { to, syn, reason } => {
                 self.unplaced(&syn, reason);
-                (self.codec.reset)(syn.flow, 0, out);
-                self.send(Socket::Fabric, out, self.caller(syn.flow));
+                self.send_packet(&syn.header, &syn.inner, to.into(), out);
             }
             Action::NotHeld { to, header } => {
                 self.not_held(flow, to);
--- a/crates/opaque/src/agent/report.rs
+++ b/crates/opaque/src/agent/report.rs
@@ -86,7 +86,7 @@
         if let Some(log) = self.telemetry.flow_log(LinePriority::High, Instant::now()) {
             let waited = u64::try_from(syn.waited.as_millis()).unwrap_or(u64::MAX);
             let header = &syn.header;
-            warn!(log, "no agent accepts the SYN"; "flow" => %syn.flow, "reason" => %reason,
+            warn!(log, "SYN not accepted; returned to the balancer"; "flow" => %syn.flow, "reason" => %reason,
                 "copy" => syn.copy_number, "visited" => visited(header), "waited_ms" => waited,
                 "origin" => header.hints.origin.map(|to| to.to_string()),
                 "busy" => load.busy, "slots" => load.slots, "open" => load.open, "epoch" => epoch);
--- a/crates/opaque/src/balancer/mod.rs
+++ b/crates/opaque/src/balancer/mod.rs
@@ -81,6 +81,7 @@
         let dispatcher = Dispatcher::new(
             DispatchSettings {
                 link,
+                syn_copies: codec.syn_copies,
                 ..DispatchSettings::default()
             },
             settings.notices,
--- a/crates/opaque/src/balancer/outcome.rs
+++ b/crates/opaque/src/balancer/outcome.rs
@@ -22,6 +22,9 @@
     /// A packet came back, as one of its route's services doesn't have the flow.
     #[display("not_held")]
     NotHeld,
+    /// A SYN came back, as no agent accepts it or a copy of it waits there.
+    #[display("unplaced")]
+    Unplaced,
     /// A reset was sent to the caller, as no service of the route has the flow.
     #[display("reset.not_held")]
     Reset,
--- a/crates/opaque/src/balancer/packet_loop.rs
+++ b/crates/opaque/src/balancer/packet_loop.rs
@@ -1,5 +1,6 @@
 //! Runs the packet loop of a balancer.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,8 +26,9 @@
 /// they are dropped, because a route may be new.
 const VIEW_MAX_AGE: Duration = Duration::from_millis(2_500);
 
-/// Longest wait for packets if the dispatcher has no deadline.
-const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait for packets. A packet may have waited for as long if this process was paused, so it is
+/// well below the time after which a caller sends a copy of its SYN.
+const MAX_WAIT: Duration = Duration::from_millis(50);
 
 /// Receives and sends the packets of a balancer.
 pub(super) struct PacketLoop {
@@ -51,9 +53,12 @@
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         let mut actions = Vec::new();
         let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+        // The runtime has polled the sockets since.
+        let mut polled = Instant::now();
         loop {
             let since = Instant::now();
-            let due = self.dispatcher.deadline().unwrap_or(since + MAX_WAIT);
+            let due = since + MAX_WAIT;
+            let due = self.dispatcher.deadline().map_or(due, |at| at.min(due));
             // If waiting for readiness fails, the next receive returns the error.
             tokio::select! {
                 _ = self.notice_socket.ready(Interest::READABLE) => {}
@@ -67,7 +72,7 @@
                 self.apply_directory(&mut actions, &mut out);
             }
             self.receive_notices(&mut buffer, &mut actions, &mut out);
-            self.receive_packets(&mut buffer, &mut actions, &mut out);
+            self.receive_packets(polled, &mut buffer, &mut actions, &mut out);
             let now = Instant::now();
             if self.dispatcher.deadline().is_some_and(|due| due <= now) {
                 self.dispatcher.tick(now, &mut actions);
@@ -76,6 +81,7 @@
                 }
             }
             self.send_metrics();
+            polled = Instant::now();
             tokio::task::yield_now().await;
         }
     }
@@ -102,15 +108,16 @@
                     self.dispatcher.handle_notice(now, &notice);
                 }
                 Ok(Message::Packet { header, inner }) => {
-                    self.receive_not_held(now, &header, inner, actions, out);
+                    self.receive_returned(now, &header, inner, actions, out);
                 }
                 Err(error) => self.invalid_datagram(from, &error),
             }
         }
     }
 
-    /// Handles a packet that agents returned, as their service doesn't have its flow.
-    fn receive_not_held(
+    /// Handles a packet that agents returned: a SYN that none of them accepts, or another packet whose
+    /// flow their service doesn't have.
+    fn receive_returned(
         &mut self,
         now: Instant,
         header: &Header,
@@ -118,20 +125,33 @@
         actions: &mut Vec<Action>,
         out: &mut Vec<u8>,
     ) {
-        self.telemetry.count(Outcome::NotHeld);
         let segment = match (self.codec.inbound)(inner) {
             Ok(segment) => segment,
             Err(reason) => return self.invalid_packet(now, reason),
         };
-        let directory = Arc::clone(&self.directory.borrow());
-        self.dispatcher
-            .handle_not_held(now, &directory, header, &segment, inner, actions);
+        if segment.opens() {
+            self.telemetry.count(Outcome::Unplaced);
+            self.dispatcher
+                .handle_unplaced(now, header, &segment, actions);
+        } else {
+            self.telemetry.count(Outcome::NotHeld);
+            let directory = Arc::clone(&self.directory.borrow());
+            self.dispatcher
+                .handle_not_held(now, &directory, header, &segment, inner, actions);
+        }
         for action in actions.drain(..) {
             self.execute(action, inner, Some(&segment), out);
         }
     }
 
-    fn receive_packets(&mut self, buffer: &mut [u8], actions: &mut Vec<Action>, out: &mut Vec<u8>) {
+    /// Handles the packets of callers; those that arrived before `polled` are known to be readable.
+    fn receive_packets(
+        &mut self,
+        polled: Instant,
+        buffer: &mut [u8],
+        actions: &mut Vec<Action>,
+        out: &mut Vec<u8>,
+    ) {
         let directory = Arc::clone(&self.directory.borrow());
         let now = Instant::now();
         let is_current = self
@@ -139,8 +159,14 @@
             .borrow()
             .is_some_and(|at| now < at + VIEW_MAX_AGE);
         for _ in 0..BATCH_SIZE {
-            let Ok((length, _)) = self.packet_socket.try_recv_from(buffer) else {
-                return;
+            let length = match self.packet_socket.try_recv_from(buffer) {
+                Ok((length, _)) => length,
+                Err(error) => {
+                    if error.kind() == ErrorKind::WouldBlock {
+                        self.dispatcher.record_drained(polled);
+                    }
+                    return;
+                }
             };
             self.stats.count_received();
             let inner = &buffer[..length];
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,5 +1,7 @@
 //! Packet formats of opaque flows.
 
+use std::time::Duration;
+
 use units::Flow;
 
 use crate::{PacketError, Segment};
@@ -20,6 +22,9 @@
     pub full_segment_bytes: usize,
     /// Maximum bytes in flight per sender, headers included.
     pub window_bytes: u64,
+    /// Times after its first SYN at which a caller sends copies. Each tells its number in
+    /// [`Segment::ack_number`].
+    pub syn_copies: &'static [Duration],
     /// Parses a caller's packet.
     pub inbound: fn(&[u8]) -> Result<Segment, PacketError>,
     /// Parses a packet of a backend server.
--- a/crates/wire/src/hints.rs
+++ b/crates/wire/src/hints.rs
@@ -88,11 +88,12 @@
     pub origin: Option<SocketAddrV4>,
     /// The balancer assumes that the first candidate owns the flow.
     pub owner_first: bool,
-    /// A visited agent may own the flow without knowing it.
+    /// A visited agent may own the flow without knowing it; for example, it delivered a copy of the SYN.
     pub owner_uncertain: bool,
     /// If no backend server of the service has the flow, the packet goes back to the balancer, which
     /// knows the other services of the route and whether its view is current. Balancers set this for
-    /// every packet of an open flow, those of earlier versions only if the route has other services.
+    /// every packet of an open flow, those of earlier versions only if the route has other services, and
+    /// for every SYN: one that no agent accepts goes back to the balancer, which knows of its copies.
     pub return_unheld: bool,
     /// Priority of the route under overload; 0 is the highest.
     pub priority: u8,
