A resent SYN that reaches the agent where it waits goes back as well

What callers saw: nothing yet. If the notice about a queued SYN is lost or later than 40 ms, the balancer sends the SYN to a second agent, which may pass it on to the one where it waits. That agent kept silent, so the balancer missed a packet and could never refuse the attempt: its caller waited for its own timeout. By reading; the test fails on the commit before.

The agent now returns every SYN of a queued flow but a packet with the same number and the same header, which the network duplicated.

--- a/crates/forwarding/src/placement.rs
+++ b/crates/forwarding/src/placement.rs
@@ -61,10 +61,9 @@
             waited: Duration::ZERO,
         };
         if let Some(queued) = self.admission_queue.get(&flow) {
-            // The balancer learns that the caller's next copy wasn't delivered either. A packet that
-            // came twice is no other copy.
-            let again = queued.copy_number == segment.copy_number();
-            return out.push(if again {
+            // The balancer counts the packets that it sent; one that the network duplicated isn't another.
+            let same = queued.copy_number == segment.copy_number() && queued.header == *header;
+            return out.push(if same {
                 Action::Queue
             } else {
                 return_syn(unplaced(), Reason::Queued)
--- a/crates/forwarding/tests/all/admission.rs
+++ b/crates/forwarding/tests/all/admission.rs
@@ -108,6 +108,25 @@
     assert_eq!(fixture.forwarder.queued_syns(), 1);
 }
 
+/// Guards against callers that get no early refusal because a notice was lost or late: the balancer has sent
+/// the SYN to a second agent, which passed it on to the one where it waits.
+#[test]
+fn resent_syn_that_is_queued_already_goes_back_to_the_balancer() {
+    let mut fixture = at_capacity();
+    fixture.packet(&last_candidate(1), &syn(flow(5)));
+    let mut resent = last_candidate(1);
+    resent.hints.least_loaded = Some((1, load(1, 2, 0)));
+    let action = fixture.packet_action(&resent, &syn(flow(5)));
+    let queued = Reason::Queued;
+    assert!(
+        matches!(action, Action::Unplaced { to, reason, .. } if (to, reason) == (balancer(), queued)),
+        "{action:?}"
+    );
+    // The network duplicated the first one.
+    let action = fixture.packet_action(&last_candidate(1), &syn(flow(5)));
+    assert_eq!(action, Action::Queue);
+}
+
 /// Guards against a refusal by a balancer of an earlier version, which doesn't know of the copies.
 #[test]
 fn syns_of_earlier_balancers_are_not_refused() {
