--- /dev/null
+++ b/crates/flows/tests/rules/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the individual ownership rules.
+
+mod common;
+mod ownership;
+mod resets;
