A node that is refused by one replica moves on to the others, however slowly it retries

Cause: a failed replica was avoided for 250 ms only. Once the backoff is longer, no replica is avoided at the next attempt, and the first in the node's own order is chosen again.

Why the fix works: a replica that failed stays behind those that didn't until it has answered; among failed ones, the one whose penalty ended first comes next. A successful heartbeat, poll or read clears its replica. A poll that fails is logged, the first of a series as a warning.

--- a/crates/watcher/src/heartbeat.rs
+++ b/crates/watcher/src/heartbeat.rs
@@ -108,14 +108,15 @@
     }
 
     async fn send(&self, leaving: bool) -> Result<HeartbeatReply, Option<RpcError>> {
-        let peer = self.lock().select(Instant::now()).ok_or(None)?;
+        let peer = self.lock().select().ok_or(None)?;
         let message = self.message(leaving);
         let result = self
             .client
             .post(peer, path::HEARTBEAT, &message, REQUEST_TIMEOUT)
             .await;
-        if let Err(error) = &result {
-            self.lock().record_failure(error, Instant::now());
+        match &result {
+            Ok(_) => self.lock().prefer(peer),
+            Err(error) => self.lock().record_failure(error, Instant::now()),
         }
         result.map_err(Some)
     }
--- a/crates/watcher/src/poll.rs
+++ b/crates/watcher/src/poll.rs
@@ -5,7 +5,7 @@
 
 use api::path;
 use rpc::{Client, RpcError};
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -41,6 +41,8 @@
         ReplicaSelector::new(Arc::clone(&settings.control), rand::random_range(0..64));
     let mut backoff = BACKOFF_MS.start;
     let mut first = true;
+    // Whether the last poll failed.
+    let mut failing = false;
     let message = store.request();
     let begin = Instant::now();
     let initial = initial::fetch(&replicas, &client, &message, &log).await;
@@ -48,7 +50,7 @@
     let traffic = client.traffic(path::WATCH);
     let mut initial_reply = Some(initial);
     loop {
-        let Some(peer) = replicas.select(Instant::now()) else {
+        let Some(peer) = replicas.select() else {
             sleep(Duration::from_millis(BACKOFF_MS.end)).await;
             continue;
         };
@@ -69,6 +71,9 @@
                 head_at,
             }) => {
                 replicas.prefer(peer);
+                if std::mem::take(&mut failing) {
+                    info!(log, "polls of control succeed again"; "peer" => %peer);
+                }
                 backoff = BACKOFF_MS.start;
                 if reply.config < message.config || reply.index < message.index {
                     warn!(log, "replica sent an older configuration"; "peer" => %peer,
@@ -97,6 +102,11 @@
                 }
             }
             Err(error) => {
+                if !std::mem::replace(&mut failing, true) {
+                    warn!(log, "poll of control failed"; "error" => %error);
+                } else {
+                    debug!(log, "poll of control failed"; "error" => %error);
+                }
                 replicas.record_failure(&error, Instant::now());
                 sleep(Duration::from_millis(rand::random_range(
                     backoff / 2..=backoff,
--- a/crates/watcher/src/reader.rs
+++ b/crates/watcher/src/reader.rs
@@ -136,11 +136,12 @@
     }
 
     async fn read_from_selected(&mut self) -> Result<(), Option<RpcError>> {
-        let peer = self.replicas.select(Instant::now()).ok_or(None)?;
+        let peer = self.replicas.select().ok_or(None)?;
         let request = self.store.request();
         let call = download::request(&self.client, peer, path::READ, &request, HEAD_LIMIT);
         match call.await {
             Ok(received) => {
+                self.replicas.prefer(peer);
                 self.store.apply(&received.reply);
                 Ok(())
             }
--- a/crates/watcher/src/replica_selector.rs
+++ b/crates/watcher/src/replica_selector.rs
@@ -30,7 +30,7 @@
     offset: usize,
     current: Option<SocketAddr>,
     timeout_penalty: Duration,
-    /// Replicas with a penalty, and its end.
+    /// Replicas that failed and have not succeeded since, and the end of their penalty.
     avoided: Vec<(SocketAddr, Instant)>,
 }
 
@@ -56,9 +56,9 @@
     }
 
     /// Replica for the next request; `None` if no replica is known.
-    pub fn select(&mut self, now: Instant) -> Option<SocketAddr> {
+    pub fn select(&mut self) -> Option<SocketAddr> {
         if self.current.is_none() {
-            self.current = self.choose(now);
+            self.current = self.choose();
         }
         self.current
     }
@@ -92,8 +92,9 @@
         all
     }
 
-    /// Uses a replica until it fails.
+    /// Uses a replica, which replied, until it fails.
     pub fn prefer(&mut self, peer: SocketAddr) {
+        self.avoided.retain(|(p, _)| *p != peer);
         self.current = Some(peer);
     }
 
@@ -104,15 +105,22 @@
                 RpcError::Timeout { .. } | RpcError::Stalled { .. } => self.timeout_penalty,
                 _ => FAILURE_PENALTY,
             };
-            self.avoided.retain(|(p, until)| *p != peer && *until > now);
+            let known = self.replicas.list();
+            self.avoided
+                .retain(|(p, _)| *p != peer && known.contains(p));
             self.avoided.push((peer, now + penalty));
         }
         // A replica may still name a leader that no longer replies.
         self.current = leader_hint(error).filter(|hint| self.avoided_until(hint, now).is_none());
     }
 
-    fn choose(&self, now: Instant) -> Option<SocketAddr> {
-        let until = |peer: &SocketAddr| self.avoided_until(peer, now);
+    /// Replica that has not failed, or whose penalty ends or ended first: a node may retry less often
+    /// than penalties last, and has to move on all the same.
+    fn choose(&self) -> Option<SocketAddr> {
+        let until = |peer: &SocketAddr| {
+            let entry = self.avoided.iter().find(|(p, _)| p == peer);
+            entry.map(|(_, until)| *until)
+        };
         self.in_order().into_iter().min_by_key(until)
     }
 
