An agent never takes its backend server for younger by the number of a report

Cause: a first report with the number 1 or 2 counted as proof that the backend server started after the agent, which then knows all of its flows. The report before may have gone to the agent's previous process.

Why the fix works: only a backend server that follows another one that reported to the same process is certain to be younger. Otherwise the agent offers packets of unknown flows, and the backend server decides.

Tests: lost::agent_that_has_run_longer_than_a_flow_rules_flows_out failed before (Drop(Unknown)). first_report_tells_whether_the_backend_server_is_older asserted that numbers 1 and 2 prove it, which is the fault; it is replaced by backend_server_may_be_older_unless_it_follows_a_reported_one, which asserts for five numbers that they don't, and what does.

--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -17,7 +17,7 @@
 use units::{Epoch, Flow};
 use wire::{Candidate, Candidates, Flags, Header, MAX_CANDIDATES, Segment, Sweep};
 
-use crate::{Action, DropReason, Forwarder, Reason};
+use crate::{Action, Backend, DropReason, Forwarder, Reason};
 
 /// Marks a packet that searches for its flow beyond the balancer's list.
 const SEARCH_FLAGS: Flags = Flags {
@@ -95,7 +95,7 @@
     ) -> Action {
         let flow = segment.flow;
         let mut header = *header;
-        header.hints.owner_uncertain |= !self.rules_out(&flow);
+        header.hints.owner_uncertain |= !self.rules_out(now, &flow);
         if !header.is_redirected() {
             header.epoch.0 = header.epoch.0.max(self.epoch());
         }
@@ -215,8 +215,11 @@
     }
 
     /// Whether the backend server is certain not to have a flow that is not tracked here.
-    fn rules_out(&self, flow: &Flow) -> bool {
-        let knows_all = self.backend.is_some_and(|backend| !backend.predates_agent);
+    fn rules_out(&self, now: Instant, flow: &Flow) -> bool {
+        let since_start = |backend: Backend| !backend.predates_agent;
+        let knows_all = self
+            .backend
+            .is_some_and(|backend| since_start(backend) || !self.may_have_unknown_flows(now));
         // The backend server answered a copy of the flow's SYN with other sequence numbers, so that
         // its flow isn't the one of this packet.
         let copy = self
--- a/crates/forwarding/tests/all/lost.rs
+++ b/crates/forwarding/tests/all/lost.rs
@@ -50,6 +50,19 @@
     }
 }
 
+/// Guards against callers that wait on lost flows as long as an agent runs whose backend server is older: once
+/// it has run for longer than a flow lasts, it knows every flow.
+#[test]
+fn agent_that_has_run_longer_than_a_flow_rules_flows_out() {
+    let mut fixture = Fixture::with_backend(backend_predating_agent(), members());
+    fixture.advance(49_999);
+    let action = fixture.packet_action(&after_all_others(), &data(flow(1), 900));
+    assert_eq!(action, Action::Deliver(Reason::Offer));
+    fixture.advance(1);
+    let action = fixture.packet_action(&after_all_others(), &data(flow(2), 900));
+    assert_not_held(&action, 2);
+}
+
 /// An agent that started 100 ms ago and has no report of its backend server yet.
 fn before_first_report() -> Fixture {
     let mut fixture = Fixture::without_backend();
--- a/crates/opaque/src/agent/backend_tracker.rs
+++ b/crates/opaque/src/agent/backend_tracker.rs
@@ -7,6 +7,11 @@
 //! A restarted backend server may accept flows before its first report arrives.
 //! Its start time by the system clock separates these flows from those of the
 //! previous incarnation.
+//!
+//! Nothing in a first report shows that the backend server started after this
+//! agent: its earlier reports may have gone to another agent process, or got
+//! lost, and clocks may be set. Only an incarnation that follows another one
+//! that reported to this agent did.
 
 use std::time::Duration;
 
@@ -16,10 +21,6 @@
 use tokio::time::Instant;
 use units::{Millis, ServiceName};
 
-/// Highest sequence number of a first report with which a backend server counts as started after this
-/// agent; with a higher one, its earlier reports went to another agent process.
-const MAX_FIRST_SEQUENCE: u64 = 2;
-
 /// Tolerated difference between the system clocks of the backend server and this agent.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(500);
 
@@ -81,8 +82,8 @@
 struct KnownBackend {
     report: BackendReport,
     last_report: Instant,
-    /// Sequence number of the first report received from this incarnation.
-    first_sequence: u64,
+    /// Whether this agent received reports of the incarnation before, which had to end first.
+    succeeds_reported: bool,
     /// Increases with each incarnation.
     incarnation: u64,
     /// Earliest possible time of its start.
@@ -156,7 +157,7 @@
                 let last_report = self.known.as_ref().map(|known| known.last_report);
                 self.known = Some(KnownBackend {
                     started: started.max(last_report).unwrap_or(now),
-                    first_sequence: report.sequence,
+                    succeeds_reported: last_report.is_some(),
                     last_report: now,
                     report,
                     incarnation: self.incarnations,
@@ -188,7 +189,7 @@
         (now < known.last_report + self.report_timeout).then(|| Backend {
             incarnation: known.incarnation,
             started: known.started,
-            predates_agent: known.first_sequence > MAX_FIRST_SEQUENCE,
+            predates_agent: !known.succeeds_reported,
             slots: known.report.slots,
             accepting: known.report.state == BackendState::Ready,
         })
--- a/crates/opaque/tests/backend_tracker.rs
+++ b/crates/opaque/tests/backend_tracker.rs
@@ -53,7 +53,7 @@
     let expected = Backend {
         incarnation: 1,
         started: now - BACKEND_AGE - Duration::from_millis(500),
-        predates_agent: false,
+        predates_agent: true,
         slots: 4,
         accepting: true,
     };
@@ -160,21 +160,20 @@
 }
 
 /// Guards against an agent that wrongly assumes that it started before its backend server, and so
-/// loses flows whose start it didn't see: only a first report with a low sequence number shows that
-/// the agent started first.
+/// loses flows whose start it didn't see: an agent that restarted beside a young one got its second
+/// report first (review/4). Only the end of an earlier one that reported here shows it.
 #[test]
-fn first_report_tells_whether_the_backend_server_is_older() {
-    for (first, older) in [(1, false), (2, false), (3, true), (900, true)] {
+fn backend_server_may_be_older_unless_it_follows_a_reported_one() {
+    for first in [0, 1, 2, 3, 900] {
         let (mut tracker, now) = (tracker(), Instant::now());
-        tracker.record(now, UNIX_TIME, report(10, first)).unwrap();
-        tracker
-            .record(now, UNIX_TIME, report(10, first + 50))
-            .unwrap();
-        assert_eq!(
-            tracker.current(now).unwrap().predates_agent,
-            older,
-            "{first}"
-        );
+        for sequence in [first, first + 50] {
+            tracker
+                .record(now, UNIX_TIME, report(10, sequence))
+                .unwrap();
+            assert!(tracker.current(now).unwrap().predates_agent, "{first}");
+        }
+        tracker.record(now, UNIX_TIME, report(20, first)).unwrap();
+        assert!(!tracker.current(now).unwrap().predates_agent, "{first}");
     }
 }
 
