An agent leaves the table only once its backend server has ended

Cause: a stopped agent told control that its member leaves if its backend server accepted no new flows, or hadn't reported to this process yet. The others' tables then lacked a member that holds flows, and their search counted as complete.

Why the fix works: the member stays until its backend server deregistered or its reports stopped, as far as this process had any; its siblings know that it restarts, so a search that meets it ends without a reset.

--- a/crates/opaque/src/agent/backend_tracker.rs
+++ b/crates/opaque/src/agent/backend_tracker.rs
@@ -195,6 +195,13 @@
         })
     }
 
+    /// Whether a backend server reported here and has ended since: it left, or its reports stopped. One
+    /// that is about to leave still has its flows, and one that never reported here may have some.
+    #[must_use]
+    pub fn has_ended(&self, now: Instant) -> bool {
+        self.incarnations > 0 && self.current(now).is_none()
+    }
+
     /// Time at which the backend server counts as lost unless another report arrives.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
--- a/crates/opaque/src/agent/mod.rs
+++ b/crates/opaque/src/agent/mod.rs
@@ -189,14 +189,14 @@
     }
 
     /// Stops the agent: tells the other agents of the service that this process stops, and control that
-    /// this member leaves.
+    /// this member leaves if its backend server has ended.
     ///
-    /// Waits at most `limit` for control. Control isn't told while the backend server accepts flows: the
-    /// next agent process here takes over its flows, and other agents must not treat them as lost.
+    /// Waits at most `limit` for control. Otherwise the next agent process here takes over the flows, and
+    /// other agents must not treat them as lost: a member that left the table counts as one without any.
     pub async fn stop(&self, limit: Duration) {
         self.notify_packet_loop(true).await;
-        let current = self.shared.backend().current(Instant::now());
-        if current.is_none_or(|backend| !backend.accepting) {
+        let ended = self.shared.backend().has_ended(Instant::now());
+        if ended {
             // Without an answer the lease expires.
             let _ = tokio::time::timeout(limit, self.watcher.leave()).await;
         }
--- a/crates/opaque/tests/backend_tracker.rs
+++ b/crates/opaque/tests/backend_tracker.rs
@@ -177,6 +177,21 @@
     }
 }
 
+/// Guards against an agent that leaves the table when it is stopped although its backend server holds flows:
+/// one that drains, or one that hasn't reported to this process yet (review/2).
+#[test]
+fn only_a_backend_server_that_reported_here_has_ended() {
+    let (mut tracker, now) = (tracker(), Instant::now());
+    assert!(!tracker.has_ended(now), "not reported yet");
+    tracker.record(now, UNIX_TIME, report(10, 1)).unwrap();
+    assert!(!tracker.has_ended(now));
+    tracker.record(now, UNIX_TIME, draining(10, 2)).unwrap();
+    assert!(!tracker.has_ended(now), "it drains");
+    assert!(tracker.has_ended(now + REPORT_TIMEOUT));
+    tracker.remove("i-10");
+    assert!(tracker.has_ended(now), "it left");
+}
+
 /// Guards against sending requests to a backend server of another service.
 #[test]
 fn other_services_are_refused() {
