A sibling counts as down only if it was heard before

Cause: a search passes over siblings that are down and counts them as searched. A sibling that an agent had never heard, or whose shutdown was 1.5 s ago, counted as down too; nothing shows that its backend server has ended.

Why the fix works: these siblings are still passed over, so that the others are searched, but the search is in doubt and ends without a reset.

Tests: member_that_was_never_heard_may_have_the_flow and member_that_stopped_may_have_the_flow_until_it_is_heard failed before. search_skips_members_that_are_down used members that were never heard, which is the fault; it now lets them be heard first and checks the same.

--- a/crates/forwarding/src/forwarder.rs
+++ b/crates/forwarding/src/forwarder.rs
@@ -318,7 +318,7 @@
             return;
         }
         if notice.leaving {
-            self.siblings.record_stop(&notice.owner, now);
+            self.siblings.record_stop(&notice.owner);
         } else {
             self.siblings.record_load(&notice.owner, notice.load, now);
         }
--- a/crates/forwarding/src/search.rs
+++ b/crates/forwarding/src/search.rs
@@ -4,8 +4,8 @@
 //! their addresses, starting at the flow's home agent. The header accumulates a
 //! checksum of the visited members, from which the last agent can tell whether
 //! every member was visited, however many there are. Members whose process
-//! announced its shutdown recently are skipped, but their backend servers may
-//! have the flow, so such a search ends without a reset.
+//! announced its shutdown, or that were never heard, are skipped, but their
+//! backend servers may have the flow, so such a search ends without a reset.
 //!
 //! A search covers one service under the tables that its agents have. A search
 //! that finds nothing ends with the packet's return to the balancer, which knows
@@ -17,6 +17,7 @@
 use units::{Epoch, Flow};
 use wire::{Candidate, Candidates, Flags, Header, MAX_CANDIDATES, Segment, Sweep};
 
+use crate::siblings::Reachability;
 use crate::{Action, Backend, DropReason, Forwarder, Reason};
 
 /// Marks a packet that searches for its flow beyond the balancer's list.
@@ -104,17 +105,10 @@
         }
         while header.hints.sweep.is_none() && header.has_next() {
             header = header.next_hop(header.flags);
-            let restarting = |target: Candidate| self.siblings.is_restarting(target.address, now);
-            if header.target().is_some_and(restarting) {
-                header.hints.owner_uncertain = true;
-                continue;
-            }
-            // Without its agent a backend server is unreachable, whether it has the flow or not.
-            if header
-                .target()
-                .is_some_and(|t| !self.is_sibling_down(t.address, now))
-            {
-                return Action::Forward(header, reason);
+            match header.target().map(|t| self.reachability(t.address, now)) {
+                Some(Reachability::Reachable) => return Action::Forward(header, reason),
+                Some(Reachability::Uncertain) => header.hints.owner_uncertain = true,
+                Some(Reachability::Down) | None => {}
             }
         }
         let Some(home) = header.home_agent() else {
@@ -132,9 +126,9 @@
         list.truncate(MAX_CANDIDATES - 1);
         let mut here = header.hints.sweep.map(|_| self.local.address);
         while let Some(next) = self.next_search_target(&sweep, here, &list) {
-            let restarting = self.siblings.is_restarting(next.address, now);
-            header.hints.owner_uncertain |= restarting;
-            if restarting || self.is_sibling_down(next.address, now) {
+            let reachability = self.reachability(next.address, now);
+            header.hints.owner_uncertain |= reachability == Reachability::Uncertain;
+            if reachability != Reachability::Reachable {
                 sweep = sweep.visited(next.address);
                 here = Some(next.address);
                 continue;
@@ -209,9 +203,9 @@
         (sweep.visits < self.settings.max_visits).then_some(next)
     }
 
-    fn is_sibling_down(&self, member: SocketAddrV4, now: Instant) -> bool {
+    fn reachability(&self, member: SocketAddrV4, now: Instant) -> Reachability {
         let (interval, fanout) = (self.settings.load_interval, self.settings.load_fanout);
-        self.siblings.is_down(member, interval, fanout, now)
+        self.siblings.reachability(member, interval, fanout, now)
     }
 
     /// Whether the backend server is certain not to have a flow that is not tracked here.
--- a/crates/forwarding/src/siblings.rs
+++ b/crates/forwarding/src/siblings.rs
@@ -24,10 +24,22 @@
 /// Consecutive rounds of load notices missed after which a sibling counts as down.
 const MAX_MISSED_ROUNDS: u32 = 3;
 
-/// Minimum time without notices before a sibling counts as down, and for which one that
-/// announced its shutdown counts as restarting; longer than an agent's restart.
+/// Minimum time without notices before a sibling counts as down; longer than an agent's restart.
 const MIN_DOWN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Whether a search can visit a sibling.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reachability {
+    /// A search visits it.
+    Reachable,
+    /// It can't be reached for now, but its backend server may live: it announced its shutdown, or has not
+    /// been heard by this agent yet. The doubt ends with its next notice, or when it leaves the table.
+    Uncertain,
+    /// It was heard and went silent. Without its agent a backend server is unreachable, whether it has a
+    /// flow or not.
+    Down,
+}
+
 /// What the table and the notices say about a sibling.
 #[derive(Debug, Clone)]
 struct SiblingState {
@@ -35,10 +47,12 @@
     centre: DataCentre,
     takes_work: bool,
     load: Option<(Load, Instant)>,
+    /// Whether a notice of it arrived since it was added to the table.
+    heard: bool,
     /// When its last notice arrived, or when it was added to the table.
     last_heard: Instant,
-    /// Process that announced its shutdown, and when.
-    stopped: Option<(Incarnation, Instant)>,
+    /// Process that announced its shutdown.
+    stopped: Option<Incarnation>,
 }
 
 /// Tracks the siblings: the other agents of the same service.
@@ -64,6 +78,7 @@
                     centre: member.centre.clone(),
                     takes_work: member.takes_work,
                     load: old.as_ref().and_then(|old| old.load),
+                    heard: old.as_ref().is_some_and(|old| old.heard),
                     last_heard: old.as_ref().map_or(now, |old| old.last_heard),
                     stopped: old.and_then(|old| old.stopped),
                 };
@@ -76,36 +91,47 @@
     pub(crate) fn record_load(&mut self, owner: &Candidate, load: Load, now: Instant) {
         if let Some(sibling) = self.by_address.get_mut(&owner.address) {
             sibling.load = Some((load, now));
-            sibling.last_heard = now;
+            (sibling.heard, sibling.last_heard) = (true, now);
             // A load notice sent before the shutdown notice may arrive after it.
             sibling.stopped = sibling
                 .stopped
-                .filter(|(stopped, _)| *stopped == owner.incarnation);
+                .filter(|stopped| *stopped == owner.incarnation);
         }
     }
 
     /// Records that a sibling announced its shutdown.
-    pub(crate) fn record_stop(&mut self, owner: &Candidate, now: Instant) {
+    pub(crate) fn record_stop(&mut self, owner: &Candidate) {
         if let Some(sibling) = self.by_address.get_mut(&owner.address) {
-            sibling.stopped = Some((owner.incarnation, now));
+            sibling.stopped = Some(owner.incarnation);
         }
     }
 
-    /// Whether a sibling announced its shutdown recently and its next process has not sent a notice
-    /// yet.
-    pub(crate) fn is_restarting(&self, address: SocketAddrV4, now: Instant) -> bool {
-        let stopped = self
-            .by_address
-            .get(&address)
-            .and_then(|sibling| sibling.stopped);
-        stopped.is_some_and(|(_, at)| now < at + MIN_DOWN_TIMEOUT)
+    /// Whether a search can visit a member; one that isn't in the table is visited.
+    pub(crate) fn reachability(
+        &self,
+        address: SocketAddrV4,
+        interval: Duration,
+        fanout: usize,
+        now: Instant,
+    ) -> Reachability {
+        let Some(sibling) = self.by_address.get(&address) else {
+            return Reachability::Reachable;
+        };
+        if sibling.stopped.is_some() {
+            return Reachability::Uncertain;
+        }
+        match self.is_silent(sibling, interval, fanout, now) {
+            false => Reachability::Reachable,
+            true if sibling.heard => Reachability::Down,
+            true => Reachability::Uncertain,
+        }
     }
 
     /// Whether a sibling missed several rounds of notices while most others were heard. Per interval,
     /// each agent sends a notice to `fanout` of its siblings.
-    pub(crate) fn is_down(
+    fn is_silent(
         &self,
-        address: SocketAddrV4,
+        sibling: &SiblingState,
         interval: Duration,
         fanout: usize,
         now: Instant,
@@ -117,7 +143,7 @@
         // If most siblings are silent, this agent was paused or is partitioned from the network.
         let majority_heard =
             || self.by_address.values().filter(|s| silent(s)).count() * 2 < self.by_address.len();
-        self.by_address.get(&address).is_some_and(silent) && majority_heard()
+        silent(sibling) && majority_heard()
     }
 
     /// Siblings that get the next load notices, in round-robin order.
--- a/crates/forwarding/tests/all/search.rs
+++ b/crates/forwarding/tests/all/search.rs
@@ -206,6 +206,9 @@
 fn search_skips_members_that_are_down() {
     let down = [24, 25, 45];
     let mut agents = Agents::new(&backend());
+    for _ in 0..4 {
+        agents.advance(Duration::from_millis(250), &[]);
+    }
     for _ in 0..10 {
         agents.advance(Duration::from_millis(250), &down);
     }
@@ -215,6 +218,38 @@
     assert_eq!(visited.len(), usize::from(MEMBERS) - down.len());
 }
 
+/// Guards against a reset of a flow at a member that the last agents of a search have not heard yet, as it
+/// or they just joined (review/5).
+#[test]
+fn member_that_was_never_heard_may_have_the_flow() {
+    let silent = [24, 25, 45];
+    let mut agents = Agents::new(&backend());
+    for _ in 0..10 {
+        agents.advance(Duration::from_millis(250), &silent);
+    }
+    let (visited, last) = agents.send(&list(), flow(1), None);
+    assert_eq!(last, Action::Drop(DropReason::Unknown));
+    // The others are searched all the same.
+    assert_eq!(visited.len(), usize::from(MEMBERS) - silent.len());
+}
+
+/// Guards against a reset of a flow whose agent takes longer to restart than most.
+#[test]
+fn member_that_stopped_may_have_the_flow_until_it_is_heard() {
+    let mut agents = Agents::new(&backend());
+    for _ in 0..4 {
+        agents.advance(Duration::from_millis(250), &[]);
+    }
+    for fixture in agents.0.values_mut() {
+        fixture.announce_shutdown(24);
+    }
+    for _ in 0..16 {
+        agents.advance(Duration::from_millis(250), &[24]);
+    }
+    let (_, last) = agents.send(&list(), flow(1), None);
+    assert_eq!(last, Action::Drop(DropReason::Unknown));
+}
+
 /// Guards against a reset of a flow at a member that missed only some notices: notices may be lost,
 /// and an agent may restart.
 #[test]
