Names that say what agents and balancers do with SYNs that aren't placed

Agents give a SYN up and no longer refuse it, and the balancer's two questions before a refusal had one name. No logic changes; 42 tests of dispatch and 90 of forwarding pass.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -155,6 +155,7 @@
         }
     }
 
+    /// Sends a SYN to an agent, unless its attempt is given up or can't be placed.
     fn handle_syn(
         &mut self,
         now: Instant,
@@ -173,14 +174,14 @@
                 self.attempts.record_sent(flow);
                 Action::Send(header)
             }
-            Err(reason) if refusable && current && self.may_refuse(now, directory, reason) => {
+            Err(reason) if refusable && current && self.view_suffices(now, directory, reason) => {
                 Action::Refuse(reason)
             }
             Err(reason) => Action::Drop(reason),
         }
     }
 
-    /// Handles a SYN that no agent accepts. The caller gets a reset if this holds for every copy of it.
+    /// Handles a SYN that no agent accepts. Its caller gets a reset if this holds for every copy of it.
     pub fn handle_unplaced(
         &mut self,
         now: Instant,
@@ -199,9 +200,9 @@
         });
     }
 
-    /// Whether a SYN may be refused for `reason`. Before the first view no route is known, and shortly
-    /// after the start not every member is.
-    fn may_refuse(&self, now: Instant, directory: &Directory, reason: DropReason) -> bool {
+    /// Whether the view is complete enough to refuse a SYN for `reason`. Before the first one no route is
+    /// known, and shortly after the start not every member is.
+    fn view_suffices(&self, now: Instant, directory: &Directory, reason: DropReason) -> bool {
         match reason {
             DropReason::NoMember => now >= self.started + self.settings.startup_grace,
             _ => directory.config_version() > Version(0),
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -17,7 +17,8 @@
 //! A SYN visits candidates until one accepts it: the first whose backend server
 //! has a free slot and not many more open flows than its siblings. If there is
 //! none, the visited candidate with the lowest load gets the SYN, and queues it
-//! while its backend server has as many requests as it can serve soon. A
+//! while its backend server has as many requests as it can serve soon. A SYN that
+//! no agent accepts goes back to the balancer, which knows of its copies. A
 //! backend server that resets requests instead of answering them counts as
 //! having the highest load.
 
--- a/crates/forwarding/src/outbound.rs
+++ b/crates/forwarding/src/outbound.rs
@@ -124,6 +124,6 @@
             copy_number: segment.copy_number(),
             waited: Duration::ZERO,
         };
-        self.refuse_syn(now, syn)
+        self.give_up_syn(now, syn)
     }
 }
--- a/crates/forwarding/src/placement.rs
+++ b/crates/forwarding/src/placement.rs
@@ -40,7 +40,7 @@
     /// Keep it until the backend server has capacity.
     Queue,
     Forward(Header, Reason),
-    Refuse,
+    GiveUp,
 }
 
 impl Forwarder {
@@ -77,12 +77,12 @@
             }
             Placement::Queue => self.queue_syn(now, header, segment, inner, out),
             Placement::Forward(header, reason) => out.push(Action::Forward(header, reason)),
-            Placement::Refuse => out.push(self.refuse_syn(now, unplaced())),
+            Placement::GiveUp => out.push(self.give_up_syn(now, unplaced())),
         }
     }
 
     /// Gives up a SYN that no candidate accepts.
-    pub(crate) fn refuse_syn(&self, now: Instant, syn: UnplacedSyn) -> Action {
+    pub(crate) fn give_up_syn(&self, now: Instant, syn: UnplacedSyn) -> Action {
         if now < self.started_at + self.settings.startup_grace {
             return Action::Drop(DropReason::Unsettled);
         }
@@ -239,7 +239,7 @@
                     inner: syn.inner,
                     flow: syn.flow,
                 },
-                None => self.refuse_syn(now, syn.give_up(now)),
+                None => self.give_up_syn(now, syn.give_up(now)),
             });
         }
     }
@@ -297,7 +297,7 @@
     /// Forwards the SYN to a candidate that it has not visited; refuses it if there is none.
     fn forward_to_unvisited(&self, flow: &Flow, header: &Header, reason: Reason) -> Placement {
         let next = self.unvisited_header(flow, header);
-        next.map_or(Placement::Refuse, |header| {
+        next.map_or(Placement::GiveUp, |header| {
             Placement::Forward(header, reason)
         })
     }
--- a/crates/forwarding/src/siblings.rs
+++ b/crates/forwarding/src/siblings.rs
@@ -117,13 +117,13 @@
         let Some(sibling) = self.by_address.get(&address) else {
             return Reachability::Reachable;
         };
-        if sibling.stopped.is_some() {
-            return Reachability::Uncertain;
-        }
-        match self.is_silent(sibling, interval, fanout, now) {
-            false => Reachability::Reachable,
-            true if sibling.heard => Reachability::Down,
-            true => Reachability::Uncertain,
+        let silent = self.is_silent(sibling, interval, fanout, now);
+        if sibling.stopped.is_some() || silent && !sibling.heard {
+            Reachability::Uncertain
+        } else if silent {
+            Reachability::Down
+        } else {
+            Reachability::Reachable
         }
     }
 
